Add the design, the build and the shared types

Cause: there is no code yet, and parts that are built side by side need one page to agree on. Change: docs/design.md with modules, state, messages, failures and choices; Maven build on JDK 25 with formatter and linter; ids, outcomes, error kinds, ticker, rendezvous hashing, platform interfaces.

--- /dev/null
+++ b/src/main/java/org/jujuberouter/cli/Main.java
@@ -0,0 +1,26 @@
+package org.jujuberouter.cli;
+
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** The entry point of the one binary. */
+@Command(
+        name = "jujuberouter",
+        mixinStandardHelpOptions = true,
+        version = "jujuberouter 0.1.0",
+        description = "Serves prompts of a thousand to a million tokens through many endpoints.")
+public final class Main implements Callable<Integer> {
+    private Main() {}
+
+    /** Runs the subcommand that the arguments name and exits with its code. */
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new Main()).execute(args));
+    }
+
+    @Override
+    public Integer call() {
+        CommandLine.usage(this, System.out);
+        return CommandLine.ExitCode.USAGE;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/misc/package-info.java
@@ -0,0 +1,2 @@
+/** Small helpers without a better home. */
+package org.jujuberouter.misc;
--- /dev/null
+++ b/src/main/java/org/jujuberouter/platform/InstanceList.java
@@ -0,0 +1,10 @@
+package org.jujuberouter.platform;
+
+import java.util.List;
+
+/** The platform's list of live and leaving instances and endpoints; it lags behind the truth. */
+@FunctionalInterface
+public interface InstanceList {
+    /** Returns the list as the platform sees it now. */
+    List<ListedMember> read() throws PlatformException;
+}
