--- /dev/null
+++ b/src/main/java/org/jujuberouter/engine/PlainAnswer.java
@@ -0,0 +1,10 @@
+package org.jujuberouter.engine;
+
+/**
+ * The whole answer of a plain service.
+ *
+ * @param status the HTTP status
+ * @param contentType the type of the body
+ * @param body the body
+ */
+public record PlainAnswer(int status, String contentType, byte[] body) {}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Clients of the endpoints: model engines and plain services over HTTP. */
+package org.jujuberouter.engine;
--- /dev/null
+++ b/src/main/java/org/jujuberouter/entry/CallerExchange.java
@@ -0,0 +1,168 @@
+package org.jujuberouter.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.jujuberouter.error.ErrorKind;
+import org.jujuberouter.error.JujuberouterException;
+import org.jujuberouter.error.Outcome;
+import org.jujuberouter.misc.Json;
+
+/**
+ * One HTTP exchange with a caller.
+ *
+ * <p>It reads a bounded body and writes either one whole answer or a stream of events. An error before the first byte
+ * becomes a JSON body with its status; an error after it becomes a last event of the same shape, so that a broken answer
+ * never looks complete.
+ */
+final class CallerExchange implements AutoCloseable {
+    private static final String JSON = "application/json";
+    private static final int READ_BYTES = 64 * 1024;
+    private static final String DONE_EVENT = "data: [DONE]\n\n";
+
+    private final HttpExchange http;
+    private boolean started;
+    private OutputStream out;
+
+    private CallerExchange(HttpExchange http) {
+        this.http = http;
+    }
+
+    static CallerExchange of(HttpExchange http) {
+        return new CallerExchange(http);
+    }
+
+    String method() {
+        return http.getRequestMethod();
+    }
+
+    String path() {
+        return http.getRequestURI().getRawPath();
+    }
+
+    String pathAndQuery() {
+        String query = http.getRequestURI().getRawQuery();
+        return query == null ? path() : path() + "?" + query;
+    }
+
+    Optional<String> header(String name) {
+        return Optional.ofNullable(http.getRequestHeaders().getFirst(name));
+    }
+
+    /** Returns whether nothing has been sent to the caller yet. */
+    boolean isUnanswered() {
+        return !started;
+    }
+
+    /** Reads the whole body or fails when it is longer than the bound or ends early. */
+    byte[] readBody(int maxBytes) throws JujuberouterException {
+        Optional<Long> declared = declaredLength();
+        if (declared.isPresent() && declared.get() > maxBytes) {
+            throw JujuberouterException.notRun(ErrorKind.BODY_TOO_LARGE, maxBytes);
+        }
+        ByteArrayOutputStream body = new ByteArrayOutputStream(
+                declared.map(n -> Math.toIntExact(Math.min(n, READ_BYTES))).orElse(READ_BYTES));
+        byte[] buffer = new byte[READ_BYTES];
+        try {
+            InputStream in = http.getRequestBody();
+            for (int n = in.read(buffer); n >= 0; n = in.read(buffer)) {
+                body.write(buffer, 0, n);
+                if (body.size() > maxBytes) {
+                    throw JujuberouterException.notRun(ErrorKind.BODY_TOO_LARGE, maxBytes);
+                }
+            }
+        } catch (IOException e) {
+            throw JujuberouterException.notRun(ErrorKind.MALFORMED_BODY, "the connection ended before the body did");
+        }
+        if (declared.isPresent() && declared.get() != body.size()) {
+            throw JujuberouterException.notRun(ErrorKind.MALFORMED_BODY, "the body is shorter than its Content-Length");
+        }
+        return body.toByteArray();
+    }
+
+    private Optional<Long> declaredLength() throws JujuberouterException {
+        Optional<String> text = header("Content-Length");
+        if (text.isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(Long.parseLong(text.get().trim()));
+        } catch (NumberFormatException e) {
+            throw JujuberouterException.badParameter(
+                    ErrorKind.INVALID_PARAMETER, "Content-Length", "Content-Length", "it is not a number");
+        }
+    }
+
+    void setHeader(String name, String value) {
+        http.getResponseHeaders().set(name, value);
+    }
+
+    void sendJson(int status, JsonNode body) throws IOException {
+        send(status, JSON, body.toString().getBytes(StandardCharsets.UTF_8));
+    }
+
+    void send(int status, String contentType, byte[] body) throws IOException {
+        started = true;
+        setHeader("Content-Type", contentType);
+        http.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
+        if (body.length > 0) {
+            http.getResponseBody().write(body);
+        }
+    }
+
+    /** Sends an error as a whole answer, or as the last event of a stream that has begun. */
+    void sendError(JujuberouterException e) throws IOException {
+        ObjectNode body = errorBody(e.kind(), e.getMessage(), e.param(), e.outcome());
+        if (started) {
+            writeEvent(body.toString());
+            return;
+        }
+        setHeader(Outcome.HEADER, e.outcome().text());
+        if (e.kind().status() == 503 || e.kind().status() == 429) {
+            setHeader("Retry-After", "1");
+        }
+        sendJson(e.kind().status(), body);
+    }
+
+    static ObjectNode errorBody(ErrorKind kind, String message, String param, Outcome outcome) {
+        ObjectNode body = Json.MAPPER.createObjectNode();
+        body.putObject("error")
+                .put("type", kind.type())
+                .put("message", message)
+                .put("param", param)
+                .put("code", kind.code())
+                .put("outcome", outcome.text());
+        return body;
+    }
+
+    /** Begins a stream of server-sent events. */
+    void startEvents() throws IOException {
+        started = true;
+        setHeader("Content-Type", "text/event-stream");
+        setHeader("Cache-Control", "no-cache");
+        http.sendResponseHeaders(200, 0);
+        out = http.getResponseBody();
+        out.flush();
+    }
+
+    void writeEvent(String data) throws IOException {
+        out.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+
+    void finishEvents() throws IOException {
+        out.write(DONE_EVENT.getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+
+    @Override
+    public void close() {
+        http.close();
+    }
+}
