--- a/src/main/java/org/jujuberouter/standin/package-info.java
+++ b/src/main/java/org/jujuberouter/standin/package-info.java
@@ -1,2 +1,2 @@
-/** Stand-ins for what the platform and the users provide: store, list, model engine and plain service. */
+/** Emulators of the outside systems: the platform's store and list, engines and plain services. */
 package org.jujuberouter.standin;
