Serve a prompt through separate processes

Cause: there was no path from a caller to an endpoint. Change: entry instance with the callers' HTTP interface, stand-in engine over the emulated model, commands entry and standin; a test runs store, list, two engines, a ledger and an instance as six processes. Ruled out: HTTP/2 towards engines; the stand-ins' server speaks HTTP/1.1 only.

--- a/src/main/java/org/jujuberouter/cli/StandinCommand.java
+++ b/src/main/java/org/jujuberouter/cli/StandinCommand.java
@@ -16,7 +16,12 @@
 @Command(
         name = "standin",
         mixinStandardHelpOptions = true,
-        subcommands = {StandinCommand.Store.class, StandinCommand.Members.class},
+        subcommands = {
+            StandinCommand.Store.class,
+            StandinCommand.Members.class,
+            StandinEndpointCommands.Engine.class,
+            StandinEndpointCommands.Plain.class
+        },
         description = "Runs a stand-in of an outside system on loopback, for trials and tests.")
 public final class StandinCommand implements Callable<Integer> {
     @Spec
--- /dev/null
+++ b/src/main/java/org/jujuberouter/cli/StandinEndpointCommands.java
@@ -0,0 +1,84 @@
+package org.jujuberouter.cli;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import org.jujuberouter.standin.EngineServer;
+import org.jujuberouter.standin.PlainServer;
+import org.jujuberouter.standin.model.EngineSettings;
+import org.jujuberouter.standin.model.LoadedModel;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Subcommands that run stand-ins of endpoints. */
+final class StandinEndpointCommands {
+    private StandinEndpointCommands() {}
+
+    /** Runs the stand-in of a model engine. */
+    @Command(
+            name = "engine",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Runs an emulated model engine. Faults are set with PUT /fault?kind=crash|cold|leaving|silent.")
+    static final class Engine implements Callable<Integer> {
+        @Option(names = "--port", defaultValue = "0", description = "Port; 0 takes a free one (default).")
+        private int port;
+
+        @Option(names = "--model", defaultValue = "jujube-1", description = "Model (default ${DEFAULT-VALUE}).")
+        private String model;
+
+        @Option(
+                names = "--kv-tokens",
+                defaultValue = "450000",
+                description = "Memory in tokens (default ${DEFAULT-VALUE}).")
+        private long kvTokens;
+
+        @Option(names = "--cold", description = "Start cold.")
+        private boolean cold;
+
+        @Option(
+                names = "--restart-delay-ms",
+                defaultValue = "2000",
+                description = "Time until the engine is back after a crash (default ${DEFAULT-VALUE}).")
+        private long restartDelayMs;
+
+        @Override
+        public Integer call() throws IOException, InterruptedException {
+            EngineServer server = EngineServer.start(
+                    port,
+                    EngineSettings.builder().kvTokens(kvTokens).build(),
+                    LoadedModel.of(model, "", ""),
+                    Duration.ofMillis(restartDelayMs),
+                    cold);
+            System.out.println("engine at " + server.address());
+            StandinCommand.awaitStop(server);
+            return 0;
+        }
+    }
+
+    /** Runs the stand-in of a plain service. */
+    @Command(
+            name = "plain",
+            mixinStandardHelpOptions = true,
+            description = "Runs a plain service that counts executions for each idempotency key.")
+    static final class Plain implements Callable<Integer> {
+        @Option(names = "--port", defaultValue = "0", description = "Port; 0 takes a free one (default).")
+        private int port;
+
+        @Option(
+                names = "--delay-ms",
+                defaultValue = "5",
+                description = "Time that a call takes (default ${DEFAULT-VALUE}).")
+        private long delayMs;
+
+        @Override
+        public Integer call() throws IOException, InterruptedException {
+            PlainServer server =
+                    PlainServer.start(new InetSocketAddress("127.0.0.1", port), Duration.ofMillis(delayMs));
+            System.out.println("plain service at " + server.address());
+            StandinCommand.awaitStop(server);
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/entry/AnswerWriter.java
@@ -0,0 +1,89 @@
+package org.jujuberouter.entry;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import org.jujuberouter.id.RequestId;
+import org.jujuberouter.misc.Json;
+
+/** Writes an answer in the form that the caller asked for: events as they come, or one whole body at the end. */
+final class AnswerWriter {
+    private final CallerExchange exchange;
+    private final CompletionCall call;
+    private final RequestId id;
+    private final StringBuilder whole = new StringBuilder();
+    private long tokens;
+    private String reason = "stop";
+
+    private AnswerWriter(CallerExchange exchange, CompletionCall call, RequestId id) {
+        this.exchange = exchange;
+        this.call = call;
+        this.id = id;
+    }
+
+    static AnswerWriter of(CallerExchange exchange, CompletionCall call, RequestId id) {
+        return new AnswerWriter(exchange, call, id);
+    }
+
+    void write(String text, int count, String finishReason) throws IOException {
+        tokens += count;
+        if (finishReason != null) {
+            reason = finishReason;
+        }
+        if (!call.stream()) {
+            whole.append(text);
+            return;
+        }
+        if (exchange.isUnanswered()) {
+            exchange.startEvents();
+        }
+        exchange.writeEvent(event(text, finishReason).toString());
+    }
+
+    void finish() throws IOException {
+        if (!call.stream()) {
+            exchange.sendJson(200, wholeBody());
+            return;
+        }
+        if (exchange.isUnanswered()) {
+            exchange.startEvents();
+        }
+        exchange.finishEvents();
+    }
+
+    private ObjectNode event(String text, String finishReason) {
+        ObjectNode node = head(call.chat() ? "chat.completion.chunk" : "text_completion");
+        ObjectNode choice = node.putArray("choices").addObject().put("index", 0);
+        if (call.chat()) {
+            choice.putObject("delta").put("role", "assistant").put("content", text);
+        } else {
+            choice.put("text", text);
+        }
+        choice.put("finish_reason", finishReason);
+        return node;
+    }
+
+    private ObjectNode wholeBody() {
+        ObjectNode node = head(call.chat() ? "chat.completion" : "text_completion");
+        ObjectNode choice = node.putArray("choices").addObject().put("index", 0);
+        if (call.chat()) {
+            choice.putObject("message").put("role", "assistant").put("content", whole.toString());
+        } else {
+            choice.put("text", whole.toString());
+        }
+        choice.put("finish_reason", reason);
+        node.putObject("usage")
+                .put("prompt_tokens", call.promptTokens())
+                .put("completion_tokens", tokens)
+                .put("total_tokens", call.promptTokens() + tokens);
+        return node;
+    }
+
+    private ObjectNode head(String object) {
+        return Json.MAPPER
+                .createObjectNode()
+                .put("id", id.value())
+                .put("object", object)
+                .put("created", System.currentTimeMillis() / 1000)
+                .put("model", call.model().value());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/entry/CallerHttp.java
@@ -0,0 +1,80 @@
+package org.jujuberouter.entry;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.jujuberouter.error.ErrorKind;
+import org.jujuberouter.error.JujuberouterException;
+
+/**
+ * The HTTP server for callers; each exchange runs on its own virtual thread.
+ *
+ * <p>Whatever a handler throws becomes an answer with an outcome, and never ends the process.
+ */
+final class CallerHttp implements AutoCloseable {
+    private static final Logger LOG = System.getLogger(CallerHttp.class.getName());
+    private static final int BACKLOG = 1024;
+
+    private final HttpServer server;
+    private final ExecutorService threads;
+
+    private CallerHttp(HttpServer server, ExecutorService threads) {
+        this.server = server;
+        this.threads = threads;
+    }
+
+    /** Handles one exchange with a caller. */
+    @FunctionalInterface
+    interface Handler {
+        void handle(CallerExchange exchange) throws JujuberouterException, IOException;
+    }
+
+    /** Binds the address; port 0 takes a free one. */
+    static CallerHttp bind(InetSocketAddress address) throws IOException {
+        // The JDK's server reads these once. Without the first, small events wait up to 40 ms for an acknowledgement.
+        System.setProperty("sun.net.httpserver.nodelay", "true");
+        System.setProperty("sun.net.httpserver.maxIdleConnections", "4096");
+        HttpServer server = HttpServer.create(address, BACKLOG);
+        ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+        server.setExecutor(threads);
+        return new CallerHttp(server, threads);
+    }
+
+    void route(String path, Handler handler) {
+        server.createContext(path, http -> serve(http, handler));
+    }
+
+    void start() {
+        server.start();
+    }
+
+    InetSocketAddress address() {
+        return server.getAddress();
+    }
+
+    private static void serve(HttpExchange http, Handler handler) {
+        try (CallerExchange exchange = CallerExchange.of(http)) {
+            try {
+                handler.handle(exchange);
+            } catch (JujuberouterException e) {
+                exchange.sendError(e);
+            } catch (RuntimeException e) {
+                LOG.log(Level.ERROR, "[http] A handler failed at " + exchange.path() + ".", e);
+                exchange.sendError(JujuberouterException.mayHaveRun(ErrorKind.INTERNAL, e, e.toString()));
+            }
+        } catch (IOException e) {
+            LOG.log(Level.DEBUG, "[http] The caller left: {0}", e.getMessage());
+        }
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+        threads.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/entry/EntryOptions.java
@@ -0,0 +1,29 @@
+package org.jujuberouter.entry;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.InstanceId;
+
+/**
+ * What an instance learns at its start from flags and environment variables.
+ *
+ * @param instance its id
+ * @param domain its failure domain
+ * @param listen where callers connect
+ * @param peerListen where other instances connect
+ * @param store base address of the platform store
+ * @param list base address of the platform's list
+ * @param maxBodyBytes largest request body
+ * @param drainTimeout longest wait for requests in flight at a planned stop
+ */
+public record EntryOptions(
+        InstanceId instance,
+        FailureDomain domain,
+        InetSocketAddress listen,
+        InetSocketAddress peerListen,
+        URI store,
+        URI list,
+        int maxBodyBytes,
+        Duration drainTimeout) {}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/standin/EngineServer.java
@@ -0,0 +1,348 @@
+package org.jujuberouter.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jujuberouter.error.Outcome;
+import org.jujuberouter.id.RequestId;
+import org.jujuberouter.misc.Json;
+import org.jujuberouter.misc.Ticker;
+import org.jujuberouter.standin.model.CacheEvent;
+import org.jujuberouter.standin.model.EngineException;
+import org.jujuberouter.standin.model.EngineListener;
+import org.jujuberouter.standin.model.EngineModel;
+import org.jujuberouter.standin.model.EngineOrder;
+import org.jujuberouter.standin.model.EngineRole;
+import org.jujuberouter.standin.model.EngineSettings;
+import org.jujuberouter.standin.model.KvSnapshot;
+import org.jujuberouter.standin.model.LoadReport;
+import org.jujuberouter.standin.model.LoadedModel;
+import org.jujuberouter.standin.model.OrderReply;
+import org.jujuberouter.standin.model.RequestState;
+import org.jujuberouter.standin.model.RequestStatus;
+import org.jujuberouter.standin.model.StreamPart;
+
+/**
+ * Stands in for a model engine: an {@link EngineModel} in real time behind the engines' HTTP interface.
+ *
+ * <p>A crash closes the listening port and every connection, as the death of a process does; the engine comes back cold
+ * after a restart delay, with a higher boot number. Faults are set with {@code PUT /fault?kind=...}: {@code crash},
+ * {@code cold}, {@code leaving}, {@code silent} (open streams stay open but carry nothing more) and {@code none}.
+ */
+public final class EngineServer implements AutoCloseable {
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(3);
+    private static final String STREAM = "/stream";
+
+    private final EngineModel model;
+    private final EngineSettings settings;
+    private final Duration restartDelay;
+    private final Map<RequestId, KvSnapshot> exports = new ConcurrentHashMap<>();
+    private final Map<RequestId, ServedRequest> requests = new ConcurrentHashMap<>();
+    private HttpServer http;
+    private int port;
+    private long boot = 1;
+    private volatile boolean leaving;
+    private volatile long silentBefore;
+    private volatile boolean closed;
+
+    private EngineServer(EngineSettings settings, LoadedModel loaded, Duration restartDelay, boolean cold) {
+        this.settings = settings;
+        this.restartDelay = restartDelay;
+        EngineListener listener = new EngineListener() {
+            @Override
+            public void down(String reason) {
+                Thread.ofVirtual().start(EngineServer.this::restartLater);
+            }
+        };
+        this.model = cold
+                ? EngineModel.cold(settings, Ticker.system(), loaded, listener)
+                : EngineModel.warm(settings, Ticker.system(), loaded, listener);
+    }
+
+    /** Starts an engine on a loopback port; 0 takes a free one. */
+    public static EngineServer start(
+            int port, EngineSettings settings, LoadedModel loaded, Duration restartDelay, boolean cold)
+            throws IOException {
+        EngineServer server = new EngineServer(settings, loaded, restartDelay, cold);
+        server.http = PlatformReplies.serve(port, server::handle);
+        server.port = server.http.getAddress().getPort();
+        return server;
+    }
+
+    /** Returns host and port. */
+    public String address() {
+        return "127.0.0.1:" + port;
+    }
+
+    /** Returns the emulated engine, for checks. */
+    public EngineModel model() {
+        return model;
+    }
+
+    /** Lets all open streams go silent without closing them. */
+    public void silenceOpenStreams() {
+        silentBefore = System.nanoTime();
+    }
+
+    private void restartLater() {
+        synchronized (this) {
+            http.stop(0);
+        }
+        try {
+            Thread.sleep(restartDelay);
+            synchronized (this) {
+                if (!closed) {
+                    boot++;
+                    requests.clear();
+                    model.restart();
+                    http = PlatformReplies.serve(port, this::handle);
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (IOException e) {
+            System.getLogger(EngineServer.class.getName())
+                    .log(System.Logger.Level.ERROR, "[engine-standin] Restart failed: {0}", e.getMessage());
+        }
+    }
+
+    private void handle(HttpExchange exchange) throws IOException {
+        String path = exchange.getRequestURI().getPath();
+        String method = exchange.getRequestMethod();
+        try {
+            if (path.endsWith("/completions") && method.equals("POST")) {
+                complete(exchange, path.contains("/chat/"));
+            } else if (path.startsWith("/requests/")) {
+                onRequest(exchange, method, path.substring("/requests/".length()));
+            } else {
+                PlatformReplies.replyJson(exchange, control(exchange, method + " " + path));
+            }
+        } catch (EngineException e) {
+            refuse(exchange, e);
+        }
+    }
+
+    /** A refusal of the model means that nothing ran, except when the engine went down meanwhile. */
+    private static void refuse(HttpExchange exchange, EngineException e) throws IOException {
+        int status = switch (e.reason()) {
+            case UNKNOWN_REQUEST -> 404;
+            case DUPLICATE_REQUEST, BAD_OFFSET, RESERVATION_TOO_SMALL -> 409;
+            case WRONG_MODEL, DOWN -> 503;
+        };
+        if (e.reason() == EngineException.Reason.WRONG_MODEL) {
+            exchange.getResponseHeaders().set(Outcome.HEADER, Outcome.NOT_RUN.text());
+        }
+        PlatformReplies.reply(exchange, status, e.getMessage());
+    }
+
+    private void complete(HttpExchange exchange, boolean chat) throws IOException, EngineException {
+        JsonNode body = Json.MAPPER.readTree(exchange.getRequestBody().readAllBytes());
+        RequestId id = RequestId.of(exchange.getRequestHeaders().getFirst("X-Request-Id"));
+        ServedRequest served = ServedRequest.parse(body, chat);
+        model.submit(served.toModel(id, priority(exchange), settings.blockTokens()));
+        requests.put(id, served);
+        stream(exchange, id, served, served.base());
+    }
+
+    private static int priority(HttpExchange exchange) {
+        String text = exchange.getRequestHeaders().getFirst("X-Priority");
+        return text == null ? 0 : Integer.parseInt(text);
+    }
+
+    private void stream(HttpExchange exchange, RequestId id, ServedRequest served, int from)
+            throws IOException, EngineException {
+        long opened = System.nanoTime();
+        exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+        exchange.sendResponseHeaders(200, 0);
+        int sent = from - served.base();
+        while (true) {
+            if (silentBefore != 0 && opened <= silentBefore) {
+                sleep(POLL_INTERVAL);
+                continue;
+            }
+            StreamPart part = model.poll(id, sent);
+            boolean last = part.state() == RequestState.COMPLETED;
+            if (last || !part.tokens().isEmpty()) {
+                write(exchange, served.chunk(id, part.offset(), part.tokens().size(), last));
+                sent = part.end();
+            }
+            if (last) {
+                write(exchange, "[DONE]");
+                model.poll(id, sent);
+                return;
+            }
+            sleep(POLL_INTERVAL);
+        }
+    }
+
+    private static void write(HttpExchange exchange, String data) throws IOException {
+        exchange.getResponseBody().write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+        exchange.getResponseBody().flush();
+    }
+
+    private void onRequest(HttpExchange exchange, String method, String rest) throws IOException, EngineException {
+        boolean resume = rest.endsWith(STREAM);
+        RequestId id = RequestId.of(resume ? rest.substring(0, rest.length() - STREAM.length()) : rest);
+        ServedRequest served = requests.get(id);
+        Optional<RequestStatus> status = model.status(id);
+        if (method.equals("DELETE")) {
+            requests.remove(id);
+            exports.remove(id);
+            PlatformReplies.replyJson(exchange, Map.of("cancelled", model.cancel(id)));
+        } else if (served == null || status.isEmpty()) {
+            PlatformReplies.reply(exchange, 404, "request " + id + " is unknown");
+        } else if (resume) {
+            long offset = PlatformReplies.number(PlatformReplies.query(exchange), "offset", served.base());
+            stream(exchange, id, served, Math.toIntExact(offset));
+        } else {
+            PlatformReplies.replyJson(exchange, describe(status.get()));
+        }
+    }
+
+    private ObjectNode describe(RequestStatus s) {
+        ServedRequest served = requests.get(s.id());
+        int base = served == null ? 0 : served.base();
+        return Json.MAPPER
+                .createObjectNode()
+                .put("id", s.id().value())
+                .put("state", s.state().name().toLowerCase(Locale.ROOT))
+                .put("prefilled", s.prefilled())
+                .put("offset", base + s.offset())
+                .put("kv_tokens", s.kvTokens())
+                .put("held_bytes", s.heldBytes());
+    }
+
+    private ObjectNode control(HttpExchange exchange, String call) throws IOException, EngineException {
+        Map<String, String> query = PlatformReplies.query(exchange);
+        return switch (call) {
+            case "GET /load" -> load();
+            case "GET /requests" -> {
+                ObjectNode all = Json.MAPPER.createObjectNode();
+                ArrayNode rows = all.putArray("requests");
+                model.list().forEach(s -> rows.add(describe(s)));
+                yield all;
+            }
+            case "GET /cache/events" -> cacheEvents(PlatformReplies.number(query, "after", 0));
+            case "POST /orders" ->
+                order(Json.MAPPER.readTree(exchange.getRequestBody().readAllBytes()));
+            case "POST /cache/import" -> {
+                KvSnapshot kv = exports.remove(RequestId.of(query.getOrDefault("id", "")));
+                if (kv == null) {
+                    throw new IllegalArgumentException("no export \"" + query.get("id") + "\"");
+                }
+                model.importKv(RequestId.of(query.getOrDefault("reservation", "")), kv);
+                yield Json.MAPPER.createObjectNode().put("tokens", kv.tokens());
+            }
+            case "POST /cache/export" -> {
+                KvSnapshot kv = model.exportKv(RequestId.of(query.getOrDefault("id", "")));
+                exports.put(kv.request().id(), kv);
+                yield Json.MAPPER.createObjectNode().put("tokens", kv.tokens());
+            }
+            case "PUT /fault" -> fault(query.getOrDefault("kind", "none"));
+            default -> throw new IllegalArgumentException("no operation " + call);
+        };
+    }
+
+    private ObjectNode load() {
+        ObjectNode load = Json.MAPPER.createObjectNode();
+        load.put("boot", boot)
+                .put("leaving", leaving)
+                .put("slots", settings.maxBatch())
+                .put("cold_slots", settings.coldConcurrency())
+                .put("kv_limit", settings.kvTokens());
+        Optional<LoadReport> report = model.load();
+        report.ifPresent(r -> load.put("cold", r.cold())
+                .put("running", r.running())
+                .put("waiting", r.waiting())
+                .put("pending_prefill_tokens", r.pendingPrefillTokens())
+                .put("kv_tokens", r.kvTokens())
+                .put("held_bytes", r.heldBytes())
+                .put("model", r.loaded().model())
+                .put("adapter", r.loaded().adapter())
+                .put("version", r.loaded().version())
+                .put("role", r.role().name().toLowerCase(Locale.ROOT)));
+        return load;
+    }
+
+    private ObjectNode cacheEvents(long after) {
+        ObjectNode all = Json.MAPPER.createObjectNode();
+        ArrayNode rows = all.putArray("events");
+        for (CacheEvent e : model.cacheEvents(after)) {
+            ArrayNode blocks = rows.addObject()
+                    .put("sequence", e.sequence())
+                    .put("kind", e.kind().name().toLowerCase(Locale.ROOT))
+                    .putArray("blocks");
+            for (long block : e.blocks()) {
+                blocks.add(block);
+            }
+        }
+        return all;
+    }
+
+    private ObjectNode order(JsonNode body) throws EngineException {
+        long fencing = body.path("fencing").asLong();
+        EngineOrder order = switch (body.path("kind").asText()) {
+            case "load-model" ->
+                new EngineOrder.LoadModel(
+                        fencing,
+                        LoadedModel.of(
+                                body.path("model").asText(),
+                                body.path("adapter").asText(),
+                                body.path("version").asText()));
+            case "load-adapter" ->
+                new EngineOrder.LoadAdapter(fencing, body.path("adapter").asText());
+            case "change-role" ->
+                new EngineOrder.ChangeRole(
+                        fencing, EngineRole.valueOf(body.path("role").asText().toUpperCase(Locale.ROOT)));
+            default ->
+                throw new IllegalArgumentException(
+                        "no order of kind \"" + body.path("kind").asText() + "\"");
+        };
+        return switch (model.order(order)) {
+            case OrderReply.Accepted _ -> Json.MAPPER.createObjectNode().put("accepted", true);
+            case OrderReply.Stale stale ->
+                Json.MAPPER.createObjectNode().put("accepted", false).put("highest_fencing", stale.highest());
+        };
+    }
+
+    private ObjectNode fault(String kind) {
+        switch (kind) {
+            case "crash" -> model.crash("crashed as told");
+            case "cold" -> model.turnCold();
+            case "leaving" -> leaving = true;
+            case "silent" -> silenceOpenStreams();
+            case "none" -> {
+                leaving = false;
+                silentBefore = 0;
+            }
+            default -> throw new IllegalArgumentException("no fault of kind \"" + kind + "\"");
+        }
+        return Json.MAPPER.createObjectNode().put("set", kind);
+    }
+
+    private static void sleep(Duration time) throws IOException {
+        try {
+            Thread.sleep(time);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        synchronized (this) {
+            closed = true;
+            http.stop(0);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/standin/ServedRequest.java
@@ -0,0 +1,98 @@
+package org.jujuberouter.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.zip.CRC32;
+import org.jujuberouter.id.RequestId;
+import org.jujuberouter.misc.Json;
+import org.jujuberouter.standin.model.EngineRequest;
+import org.jujuberouter.standin.model.LoadedModel;
+
+/**
+ * What the stand-in engine keeps of a request to write its answer.
+ *
+ * <p>The answer is the word {@code t<i>} for token i, and its last token carries the marker found in the prompt, so that a
+ * caller can check that the answer is whole and its own, also after a continuation on another engine.
+ *
+ * @param prompt the prompt
+ * @param model the model asked for
+ * @param marker the marker of the prompt, or an empty text
+ * @param base index of the first token of this answer; above zero in a continuation
+ * @param total index behind the last token
+ * @param chat whether chunks have the form of a chat
+ */
+record ServedRequest(String prompt, String model, String marker, int base, int total, boolean chat) {
+    /** A prompt with this word crashes the engine that runs it. */
+    static final String POISON = "crash-the-engine";
+
+    private static final Pattern MARKER = Pattern.compile("marker-[A-Za-z0-9_]+");
+    private static final int BYTES_PER_TOKEN = 4;
+    private static final int DEFAULT_MAX_TOKENS = 256;
+
+    static ServedRequest parse(JsonNode body, boolean chat) {
+        String prompt =
+                chat ? body.path("messages").toString() : body.path("prompt").asText();
+        Matcher found = MARKER.matcher(prompt);
+        return new ServedRequest(
+                prompt,
+                body.path("model").asText(),
+                found.find() ? found.group() : "",
+                body.path("continue_offset").asInt(0),
+                body.path("max_tokens").asInt(DEFAULT_MAX_TOKENS),
+                chat);
+    }
+
+    EngineRequest toModel(RequestId id, int priority, int blockTokens) {
+        byte[] bytes = prompt.getBytes(StandardCharsets.UTF_8);
+        int tokens = Math.max(1, (bytes.length + BYTES_PER_TOKEN - 1) / BYTES_PER_TOKEN) + base;
+        EngineRequest request = new EngineRequest(
+                id,
+                "",
+                LoadedModel.of(model, "", ""),
+                priority,
+                tokens,
+                blocks(bytes, blockTokens * BYTES_PER_TOKEN),
+                Math.max(1, total - base),
+                0,
+                base,
+                false);
+        return prompt.contains(POISON) ? request.asPoisonous() : request;
+    }
+
+    /** Returns the hash of each prefix that ends at a full block. */
+    private static long[] blocks(byte[] bytes, int blockBytes) {
+        long[] chain = new long[bytes.length / blockBytes];
+        long previous = 0;
+        for (int i = 0; i < chain.length; i++) {
+            CRC32 crc = new CRC32();
+            crc.update(bytes, i * blockBytes, blockBytes);
+            previous = previous * 0x9E3779B97F4A7C15L + crc.getValue();
+            chain[i] = previous;
+        }
+        return chain;
+    }
+
+    /** Returns the JSON of a piece; the offset counts from the start of this engine's part of the answer. */
+    String chunk(RequestId id, int offset, int count, boolean last) {
+        StringBuilder text = new StringBuilder();
+        for (int i = base + offset; i < base + offset + count; i++) {
+            text.append('t').append(i).append(' ');
+        }
+        if (last) {
+            text.append(marker);
+        }
+        ObjectNode node = Json.MAPPER.createObjectNode();
+        node.put("id", id.value()).put("offset", base + offset).put("tokens", count);
+        ObjectNode choice = node.putArray("choices").addObject().put("index", 0);
+        if (chat) {
+            choice.putObject("delta").put("content", text.toString());
+        } else {
+            choice.put("text", text.toString());
+        }
+        choice.put("finish_reason", last ? "stop" : null);
+        return node.toString();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jujuberouter/process/ChildProcess.java
@@ -0,0 +1,62 @@
+package org.jujuberouter.process;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A process of the one binary that a test started; closing it ends it by its id. */
+final class ChildProcess implements AutoCloseable {
+    private final Process process;
+    private final String firstLine;
+
+    private ChildProcess(Process process, String firstLine) {
+        this.process = process;
+        this.firstLine = firstLine;
+    }
+
+    /** Starts a subcommand and waits for the line that gives its address. */
+    static ChildProcess start(String... arguments) throws IOException {
+        List<String> command = new ArrayList<>(List.of(System.getProperty("jujuberouter.binary")));
+        command.addAll(List.of(arguments));
+        Process process = new ProcessBuilder(command)
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
+        BufferedReader out =
+                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+        String line = out.readLine();
+        if (line == null) {
+            throw new IOException("the process ended before it gave its address: " + command);
+        }
+        return new ChildProcess(process, line);
+    }
+
+    /** Returns host and port from the first line. */
+    String address() {
+        return firstLine.replaceFirst(".* at (http:/+)?", "").replaceFirst("[,/ ].*", "");
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    /** Sends a signal, such as STOP or CONT, to this process alone. */
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start().waitFor();
+    }
+
+    @Override
+    public void close() {
+        process.destroy();
+        try {
+            if (!process.waitFor(10, TimeUnit.SECONDS)) {
+                process.destroyForcibly();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
