--- a/src/main/java/org/jujuberouter/cli/Main.java
+++ b/src/main/java/org/jujuberouter/cli/Main.java
@@ -15,7 +15,9 @@
 
     /** Runs the subcommand that the arguments name and exits with its code. */
     public static void main(String[] args) {
-        System.exit(new CommandLine(new Main()).execute(args));
+        System.exit(new CommandLine(new Main())
+                .addSubcommand(MeasurePeerCommand.of())
+                .execute(args));
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/org/jujuberouter/cli/MeasurePeerCommand.java
@@ -0,0 +1,110 @@
+package org.jujuberouter.cli;
+
+import java.io.PrintWriter;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.HdrHistogram.Histogram;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.Incarnation;
+import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.misc.Ticker;
+import org.jujuberouter.peer.PeerCodec;
+import org.jujuberouter.peer.PeerConnection;
+import org.jujuberouter.peer.PeerException;
+import org.jujuberouter.peer.PeerListener;
+import org.jujuberouter.peer.PeerMessage;
+import org.jujuberouter.peer.PeerMessage.AtEndpoint;
+import org.jujuberouter.peer.PeerMessage.Granted;
+import org.jujuberouter.peer.PeerMessage.PermitReply;
+import org.jujuberouter.peer.PeerMessage.PermitRequest;
+import org.jujuberouter.peer.PeerNetwork;
+import org.jujuberouter.peer.PeerSamples;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Prints the encoded size of each message between instances and the round trip of a call on loopback. */
+@Command(
+        name = "measure-peer",
+        mixinStandardHelpOptions = true,
+        description = "Prints message sizes and the round trip of a call between two instances on loopback.")
+public final class MeasurePeerCommand implements Callable<Integer> {
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
+    private static final long CONNECT_MILLIS = 5000;
+
+    @Option(names = "--calls", defaultValue = "20000", description = "measured calls (default ${DEFAULT-VALUE})")
+    private int calls;
+
+    @Option(names = "--warm-up", defaultValue = "20000", description = "calls before them (default ${DEFAULT-VALUE})")
+    private int warmUp;
+
+    @Spec
+    private CommandSpec spec;
+
+    /** Returns the command. */
+    public static MeasurePeerCommand of() {
+        return new MeasurePeerCommand();
+    }
+
+    private MeasurePeerCommand() {}
+
+    @Override
+    public Integer call() throws Exception {
+        PrintWriter out = spec.commandLine().getOut();
+        out.printf("%-16s %8s%n", "message", "bytes");
+        for (PeerMessage message : PeerSamples.all()) {
+            out.printf("%-16s %8d%n", message.getClass().getSimpleName(), PeerCodec.encode(message).length + 4);
+        }
+        try (PeerNetwork owner = start("owner", MeasurePeerCommand::grant);
+                PeerNetwork asker = start("asker", (from, message) -> {})) {
+            asker.connectTo(List.of(owner.address()));
+            long end = System.nanoTime() + CONNECT_MILLIS * 1_000_000;
+            while (asker.connected().isEmpty() && System.nanoTime() < end) {
+                Thread.sleep(1);
+            }
+            measure(asker, warmUp);
+            Histogram micros = measure(asker, calls);
+            out.printf(
+                    "round trip of %d calls one after another: median %.1f us, 99th percentile %.1f us%n",
+                    calls, micros.getValueAtPercentile(50) / 1e3, micros.getValueAtPercentile(99) / 1e3);
+        }
+        out.flush();
+        return 0;
+    }
+
+    private static Histogram measure(PeerNetwork asker, int count) throws PeerException, InterruptedException {
+        Histogram nanos = new Histogram(3);
+        PermitRequest request = PeerSamples.request(new AtEndpoint(EndpointId.of("kk-engine-17")));
+        for (int i = 0; i < count; i++) {
+            long start = System.nanoTime();
+            asker.call(InstanceId.of("owner"), request, CALL_TIMEOUT);
+            nanos.recordValue(System.nanoTime() - start);
+        }
+        return nanos;
+    }
+
+    private static PeerNetwork start(String name, PeerListener listener) throws java.io.IOException {
+        return PeerNetwork.start(
+                Incarnation.of(InstanceId.of(name), 1),
+                FailureDomain.of("loopback"),
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                Ticker.system(),
+                listener);
+    }
+
+    private static void grant(PeerConnection from, PeerMessage message) {
+        if (message instanceof PermitRequest request) {
+            try {
+                from.send(new PermitReply(
+                        request.callId(), new Granted(90_001, EndpointId.of("kk-engine-17"), 17, 1_000)));
+            } catch (PeerException e) {
+                throw new IllegalStateException(e.getMessage(), e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/peer/FieldWriter.java
@@ -0,0 +1,198 @@
+package org.jujuberouter.peer;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import org.jujuberouter.id.Incarnation;
+import org.jujuberouter.peer.PeerException.Kind;
+import org.jujuberouter.peer.PeerMessage.AnyOf;
+import org.jujuberouter.peer.PeerMessage.AtEndpoint;
+import org.jujuberouter.peer.PeerMessage.CrashNotice;
+import org.jujuberouter.peer.PeerMessage.Decision;
+import org.jujuberouter.peer.PeerMessage.DemandDigest;
+import org.jujuberouter.peer.PeerMessage.EndpointDigest;
+import org.jujuberouter.peer.PeerMessage.Granted;
+import org.jujuberouter.peer.PeerMessage.Handover;
+import org.jujuberouter.peer.PeerMessage.Heartbeat;
+import org.jujuberouter.peer.PeerMessage.HeldPermit;
+import org.jujuberouter.peer.PeerMessage.Hello;
+import org.jujuberouter.peer.PeerMessage.PermitRelease;
+import org.jujuberouter.peer.PeerMessage.PermitReply;
+import org.jujuberouter.peer.PeerMessage.PermitRequest;
+import org.jujuberouter.peer.PeerMessage.Refused;
+import org.jujuberouter.peer.PeerMessage.SettingsPull;
+import org.jujuberouter.peer.PeerMessage.SettingsPush;
+import org.jujuberouter.peer.PeerMessage.Target;
+import org.msgpack.core.MessagePacker;
+
+/** Writes a message field by field; the counterpart of the reading side of {@link PeerCodec}. */
+final class FieldWriter {
+    private final MessagePacker out;
+
+    FieldWriter(MessagePacker out) {
+        this.out = out;
+    }
+
+    void message(PeerMessage message) throws IOException, PeerException {
+        switch (message) {
+            case Hello m ->
+                type(PeerCodec.HELLO, 5)
+                        .text(Hello.MAGIC)
+                        .number(m.version())
+                        .incarnation(m.sender())
+                        .text(m.domain());
+            case Heartbeat m -> heartbeat(m);
+            case PermitRequest m -> permitRequest(m);
+            case PermitReply m ->
+                type(PeerCodec.PERMIT_REPLY, 2).number(m.callId()).decision(m.decision());
+            case PermitRelease m ->
+                type(PeerCodec.PERMIT_RELEASE, 4)
+                        .number(m.permitId())
+                        .text(m.endpoint())
+                        .text(m.request())
+                        .number(m.ending().ordinal());
+            case Handover m -> handover(m);
+            case CrashNotice m -> {
+                type(PeerCodec.CRASH_NOTICE, 3).text(m.crashId()).text(m.endpoint());
+                list("fingerprints", PeerCodec.MAX_FINGERPRINTS, m.fingerprints());
+                for (var f : m.fingerprints()) {
+                    text(f);
+                }
+            }
+            case SettingsPull m -> type(PeerCodec.SETTINGS_PULL, 1).number(m.version());
+            case SettingsPush m -> {
+                PeerCodec.requireBound("size of the document", m.document().length, PeerCodec.MAX_DOCUMENT_BYTES);
+                type(PeerCodec.SETTINGS_PUSH, 2).number(m.version());
+                out.packBinaryHeader(m.document().length).writePayload(m.document());
+            }
+        }
+    }
+
+    private void heartbeat(Heartbeat m) throws IOException, PeerException {
+        type(PeerCodec.HEARTBEAT, 4).number(m.sequence()).number(m.settingsVersion());
+        list("endpoints", PeerCodec.MAX_ENDPOINTS, m.endpoints());
+        for (EndpointDigest e : m.endpoints()) {
+            out.packArrayHeader(6);
+            text(e.endpoint())
+                    .number(e.usedSlots())
+                    .number(e.boundSlots())
+                    .number(e.usedTokens())
+                    .number(e.boundTokens())
+                    .text(e.state());
+        }
+        list("demand", PeerCodec.MAX_DEMAND, m.demand());
+        for (DemandDigest d : m.demand()) {
+            out.packArrayHeader(3);
+            text(d.customer()).real(d.requestsPerSecond()).real(d.tokensPerSecond());
+        }
+    }
+
+    private void permitRequest(PermitRequest m) throws IOException, PeerException {
+        type(PeerCodec.PERMIT_REQUEST, 11)
+                .number(m.callId())
+                .text(m.request())
+                .target(m.target())
+                .number(m.promptTokens())
+                .number(m.totalTokens())
+                .text(m.lane())
+                .text(m.customer())
+                .real(m.weight())
+                .text(m.fingerprint())
+                .number(m.deadlineMillis());
+        out.packBoolean(m.runsAlone());
+    }
+
+    private void handover(Handover m) throws IOException, PeerException {
+        type(PeerCodec.HANDOVER, 3).text(m.endpoint()).number(m.fencingNumber());
+        list("permits", PeerCodec.MAX_PERMITS, m.permits());
+        for (HeldPermit p : m.permits()) {
+            out.packArrayHeader(9);
+            number(p.permitId())
+                    .text(p.request())
+                    .incarnation(p.holder())
+                    .number(p.promptTokens())
+                    .number(p.totalTokens())
+                    .text(p.lane())
+                    .text(p.customer())
+                    .text(p.fingerprint());
+        }
+    }
+
+    private FieldWriter target(Target target) throws IOException, PeerException {
+        out.packArrayHeader(3);
+        switch (target) {
+            case AtEndpoint t -> {
+                number(PeerCodec.AT_ENDPOINT).text(t.endpoint());
+                out.packNil();
+            }
+            case AnyOf t ->
+                number(PeerCodec.ANY_OF).text(t.service()).textOrNil(t.model().orElse(null));
+        }
+        return this;
+    }
+
+    private void decision(Decision decision) throws IOException, PeerException {
+        out.packArrayHeader(5);
+        switch (decision) {
+            case Granted g ->
+                number(PeerCodec.GRANTED)
+                        .number(g.permitId())
+                        .text(g.endpoint())
+                        .number(g.fencingNumber())
+                        .number(g.validMillis());
+            case Refused r -> {
+                number(PeerCodec.REFUSED)
+                        .text(r.reason())
+                        .textOrNil(r.ownerHint().orElse(null))
+                        .number(r.retryAfterMillis());
+                out.packNil();
+            }
+        }
+    }
+
+    private FieldWriter type(int type, int fields) throws IOException {
+        out.packArrayHeader(fields + 1).packInt(type);
+        return this;
+    }
+
+    private FieldWriter incarnation(Incarnation incarnation) throws IOException, PeerException {
+        return text(incarnation.instance()).number(incarnation.number());
+    }
+
+    private FieldWriter number(long value) throws IOException, PeerException {
+        if (value < 0) {
+            throw PeerException.of(Kind.MALFORMED, "number", "the number " + value + " is negative");
+        }
+        out.packLong(value);
+        return this;
+    }
+
+    private FieldWriter real(double value) throws IOException, PeerException {
+        if (!(value >= 0) || Double.isInfinite(value)) {
+            throw PeerException.of(Kind.MALFORMED, "number", "the number " + value + " is not finite and at least 0");
+        }
+        out.packDouble(value);
+        return this;
+    }
+
+    /** Writes the text form of an id or a plain text. */
+    private FieldWriter text(Object value) throws IOException, PeerException {
+        byte[] bytes = value.toString().getBytes(StandardCharsets.UTF_8);
+        PeerCodec.requireBound("size of a text", bytes.length, PeerCodec.MAX_TEXT_BYTES);
+        out.packRawStringHeader(bytes.length).writePayload(bytes);
+        return this;
+    }
+
+    private FieldWriter textOrNil(Object value) throws IOException, PeerException {
+        if (value == null) {
+            out.packNil();
+            return this;
+        }
+        return text(value);
+    }
+
+    private void list(String what, int bound, Collection<?> values) throws IOException, PeerException {
+        PeerCodec.requireBound("count of " + what, values.size(), bound);
+        out.packArrayHeader(values.size());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/peer/PeerCodec.java
@@ -0,0 +1,286 @@
+package org.jujuberouter.peer;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import org.jujuberouter.id.CustomerId;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.Fingerprint;
+import org.jujuberouter.id.Incarnation;
+import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.id.ModelName;
+import org.jujuberouter.id.RequestId;
+import org.jujuberouter.id.ServiceName;
+import org.jujuberouter.peer.PeerException.Kind;
+import org.jujuberouter.peer.PeerMessage.AnyOf;
+import org.jujuberouter.peer.PeerMessage.AtEndpoint;
+import org.jujuberouter.peer.PeerMessage.CrashNotice;
+import org.jujuberouter.peer.PeerMessage.Decision;
+import org.jujuberouter.peer.PeerMessage.DemandDigest;
+import org.jujuberouter.peer.PeerMessage.Ending;
+import org.jujuberouter.peer.PeerMessage.EndpointDigest;
+import org.jujuberouter.peer.PeerMessage.Granted;
+import org.jujuberouter.peer.PeerMessage.Handover;
+import org.jujuberouter.peer.PeerMessage.Heartbeat;
+import org.jujuberouter.peer.PeerMessage.HeldPermit;
+import org.jujuberouter.peer.PeerMessage.Hello;
+import org.jujuberouter.peer.PeerMessage.PermitRelease;
+import org.jujuberouter.peer.PeerMessage.PermitReply;
+import org.jujuberouter.peer.PeerMessage.PermitRequest;
+import org.jujuberouter.peer.PeerMessage.Refused;
+import org.jujuberouter.peer.PeerMessage.SettingsPull;
+import org.jujuberouter.peer.PeerMessage.SettingsPush;
+import org.jujuberouter.peer.PeerMessage.Target;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageInsufficientBufferException;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+
+/**
+ * Encodes and decodes the content of one frame.
+ *
+ * <p>A message is an array: the type number, then the fields in order. Fields have no names, which keeps a permit request
+ * near 100 bytes. A reader skips fields after those it knows, so a field may be added at the end without a new major
+ * version.
+ */
+public final class PeerCodec {
+    /** The largest frame content in bytes. */
+    public static final int MAX_FRAME_BYTES = 1 << 20;
+
+    /** The largest settings document in bytes; the rest of the frame is left for the other fields. */
+    public static final int MAX_DOCUMENT_BYTES = MAX_FRAME_BYTES - 64;
+
+    /** The largest text field in UTF-8 bytes. */
+    public static final int MAX_TEXT_BYTES = 256;
+
+    /** The most customers in the demand of a heartbeat. */
+    public static final int MAX_DEMAND = 32;
+
+    /** The most endpoints in a heartbeat: above the 1,400 of the design size, should one instance own them all. */
+    public static final int MAX_ENDPOINTS = 2048;
+
+    /** The most permits in a handover; the largest permit with full texts takes 1.1 KiB, typical ones 150 bytes. */
+    public static final int MAX_PERMITS = 4096;
+
+    /** The most fingerprints in a crash notice. */
+    public static final int MAX_FINGERPRINTS = 2048;
+
+    static final int HELLO = 0;
+    static final int HEARTBEAT = 1;
+    static final int PERMIT_REQUEST = 2;
+    static final int PERMIT_REPLY = 3;
+    static final int PERMIT_RELEASE = 4;
+    static final int HANDOVER = 5;
+    static final int CRASH_NOTICE = 6;
+    static final int SETTINGS_PULL = 7;
+    static final int SETTINGS_PUSH = 8;
+
+    static final int AT_ENDPOINT = 0;
+    static final int ANY_OF = 1;
+    static final int GRANTED = 0;
+    static final int REFUSED = 1;
+
+    private PeerCodec() {}
+
+    /** Returns the frame content of the message. */
+    public static byte[] encode(PeerMessage message) throws PeerException {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            new FieldWriter(out).message(message);
+            byte[] bytes = out.toByteArray();
+            requireBound("size of the frame", bytes.length, MAX_FRAME_BYTES);
+            return bytes;
+        } catch (IOException e) {
+            throw new UncheckedIOException("packing into memory failed", e);
+        }
+    }
+
+    /** Returns the message in the frame content. */
+    public static PeerMessage decode(byte[] frame) throws PeerException {
+        requireBound("size of the frame", frame.length, MAX_FRAME_BYTES);
+        FieldReader in = new FieldReader(frame);
+        try {
+            int fields = in.header();
+            if (fields == 0) {
+                throw PeerException.of(Kind.MALFORMED, "message", "it has no type");
+            }
+            PeerMessage message = read(in, fields - 1);
+            in.requireEnd();
+            return message;
+        } catch (MessageInsufficientBufferException e) {
+            throw PeerException.of(Kind.TRUNCATED, "the message");
+        } catch (MessagePackException | IOException e) {
+            throw PeerException.malformed("message", e);
+        }
+    }
+
+    private static PeerMessage read(FieldReader in, int fields) throws IOException, PeerException {
+        long type = in.number("type");
+        return switch ((int) Math.min(type, Integer.MAX_VALUE)) {
+            case HELLO -> hello(in, fields);
+            case HEARTBEAT -> body(in, "Heartbeat", fields, 4, PeerCodec::heartbeat);
+            case PERMIT_REQUEST -> body(in, "PermitRequest", fields, 11, PeerCodec::permitRequest);
+            case PERMIT_REPLY ->
+                body(in, "PermitReply", fields, 2, r -> new PermitReply(r.number("call id"), decision(r)));
+            case PERMIT_RELEASE -> body(in, "PermitRelease", fields, 4, PeerCodec::permitRelease);
+            case HANDOVER -> body(in, "Handover", fields, 3, PeerCodec::handover);
+            case CRASH_NOTICE -> body(in, "CrashNotice", fields, 3, PeerCodec::crashNotice);
+            case SETTINGS_PULL -> body(in, "SettingsPull", fields, 1, r -> new SettingsPull(r.number("version")));
+            case SETTINGS_PUSH ->
+                body(in, "SettingsPush", fields, 2, r -> new SettingsPush(r.number("version"), r.bytes("document")));
+            default -> throw PeerException.of(Kind.UNKNOWN_TYPE, type);
+        };
+    }
+
+    private static <T> T body(FieldReader in, String what, int fields, int known, FieldReader.Element<T> body)
+            throws IOException, PeerException {
+        if (fields < known) {
+            throw PeerException.of(Kind.MALFORMED, what, fields + " fields, expected at least " + known);
+        }
+        T value = body.read(in);
+        in.skip(fields - known);
+        return value;
+    }
+
+    /** Checks magic and version before the fields behind them, whose form another version may have changed. */
+    private static Hello hello(FieldReader in, int fields) throws IOException, PeerException {
+        if (fields < 2) {
+            throw PeerException.of(Kind.MALFORMED, "Hello", "it has no magic and version");
+        }
+        String magic = in.text("magic");
+        if (!magic.equals(Hello.MAGIC)) {
+            throw PeerException.of(Kind.WRONG_MAGIC, "\"" + magic + "\"");
+        }
+        long version = in.number("version");
+        if (version != Hello.VERSION) {
+            throw PeerException.of(Kind.UNSUPPORTED_VERSION, version, Hello.VERSION);
+        }
+        return body(in, "Hello", fields - 2, 3, r -> {
+            Incarnation sender = incarnation(r);
+            return new Hello(Hello.VERSION, sender, r.id("domain", FailureDomain::of));
+        });
+    }
+
+    private static Incarnation incarnation(FieldReader in) throws IOException, PeerException {
+        InstanceId instance = in.id("instance", InstanceId::of);
+        return Incarnation.of(instance, in.number("incarnation"));
+    }
+
+    private static Heartbeat heartbeat(FieldReader in) throws IOException, PeerException {
+        long sequence = in.number("sequence");
+        long version = in.number("settings version");
+        List<EndpointDigest> endpoints =
+                in.list("endpoints", MAX_ENDPOINTS, e -> e.group("endpoint digest", 6, PeerCodec::endpointDigest));
+        List<DemandDigest> demand = in.list("demand", MAX_DEMAND, e -> e.group("demand digest", 3, PeerCodec::demand));
+        return new Heartbeat(sequence, version, endpoints, demand);
+    }
+
+    private static EndpointDigest endpointDigest(FieldReader in) throws IOException, PeerException {
+        return new EndpointDigest(
+                in.id("endpoint", EndpointId::of),
+                in.number("used slots"),
+                in.number("bound of slots"),
+                in.number("used tokens"),
+                in.number("bound of tokens"),
+                in.text("state"));
+    }
+
+    private static DemandDigest demand(FieldReader in) throws IOException, PeerException {
+        return new DemandDigest(in.id("customer", CustomerId::of), in.real("requests/s"), in.real("tokens/s"));
+    }
+
+    private static PermitRequest permitRequest(FieldReader in) throws IOException, PeerException {
+        return new PermitRequest(
+                in.number("call id"),
+                in.id("request", RequestId::of),
+                target(in),
+                in.number("prompt tokens"),
+                in.number("total tokens"),
+                in.text("lane"),
+                in.id("customer", CustomerId::of),
+                in.real("weight"),
+                in.id("fingerprint", Fingerprint::of),
+                in.number("deadline"),
+                in.flag());
+    }
+
+    /** A target is [kind, name, model or nil]. */
+    private static Target target(FieldReader in) throws IOException, PeerException {
+        return in.group("target", 3, r -> {
+            long kind = r.number("target kind");
+            if (kind == AT_ENDPOINT) {
+                EndpointId endpoint = r.id("endpoint", EndpointId::of);
+                r.skip(1);
+                return new AtEndpoint(endpoint);
+            }
+            if (kind == ANY_OF) {
+                return new AnyOf(r.id("service", ServiceName::of), r.optionalId("model", ModelName::of));
+            }
+            throw PeerException.of(Kind.MALFORMED, "target", "unknown kind " + kind);
+        });
+    }
+
+    /** A decision is [kind, four fields]; a refusal leaves the last one nil. */
+    private static Decision decision(FieldReader in) throws IOException, PeerException {
+        return in.group("decision", 5, r -> {
+            long kind = r.number("decision kind");
+            if (kind == GRANTED) {
+                return new Granted(
+                        r.number("permit"),
+                        r.id("endpoint", EndpointId::of),
+                        r.number("fencing number"),
+                        r.number("validity"));
+            }
+            if (kind == REFUSED) {
+                Refused refused = new Refused(
+                        r.text("reason"), r.optionalId("owner hint", InstanceId::of), r.number("retry after"));
+                r.skip(1);
+                return refused;
+            }
+            throw PeerException.of(Kind.MALFORMED, "decision", "unknown kind " + kind);
+        });
+    }
+
+    private static PermitRelease permitRelease(FieldReader in) throws IOException, PeerException {
+        long permit = in.number("permit");
+        EndpointId endpoint = in.id("endpoint", EndpointId::of);
+        RequestId request = in.id("request", RequestId::of);
+        long ending = in.number("ending");
+        if (ending >= Ending.values().length) {
+            throw PeerException.of(Kind.MALFORMED, "ending", "unknown value " + ending);
+        }
+        return new PermitRelease(permit, endpoint, request, Ending.values()[(int) ending]);
+    }
+
+    private static Handover handover(FieldReader in) throws IOException, PeerException {
+        EndpointId endpoint = in.id("endpoint", EndpointId::of);
+        long fencing = in.number("fencing number");
+        return new Handover(
+                endpoint, fencing, in.list("permits", MAX_PERMITS, e -> e.group("permit", 9, PeerCodec::heldPermit)));
+    }
+
+    private static HeldPermit heldPermit(FieldReader in) throws IOException, PeerException {
+        return new HeldPermit(
+                in.number("permit"),
+                in.id("request", RequestId::of),
+                incarnation(in),
+                in.number("prompt tokens"),
+                in.number("total tokens"),
+                in.text("lane"),
+                in.id("customer", CustomerId::of),
+                in.id("fingerprint", Fingerprint::of));
+    }
+
+    private static CrashNotice crashNotice(FieldReader in) throws IOException, PeerException {
+        return new CrashNotice(
+                in.text("crash id"),
+                in.id("endpoint", EndpointId::of),
+                in.list("fingerprints", MAX_FINGERPRINTS, e -> e.id("fingerprint", Fingerprint::of)));
+    }
+
+    static void requireBound(String what, long value, long bound) throws PeerException {
+        if (value > bound) {
+            throw PeerException.of(Kind.OVERSIZED, what, value, bound);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/peer/PeerMessage.java
@@ -0,0 +1,183 @@
+package org.jujuberouter.peer;
+
+import java.util.List;
+import java.util.Optional;
+import org.jujuberouter.id.CustomerId;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.Fingerprint;
+import org.jujuberouter.id.Incarnation;
+import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.id.ModelName;
+import org.jujuberouter.id.RequestId;
+import org.jujuberouter.id.ServiceName;
+
+/** A message between two instances. */
+public sealed interface PeerMessage {
+    /**
+     * Opens a connection in each direction, and is sent again when the sender gets a new incarnation.
+     *
+     * @param version the major version of the protocol
+     * @param sender the incarnation of the sender
+     * @param domain the failure domain of the sender
+     */
+    record Hello(int version, Incarnation sender, FailureDomain domain) implements PeerMessage {
+        /** The magic text that each Hello starts with. */
+        public static final String MAGIC = "jujube";
+
+        /** The major version that this build speaks. */
+        public static final int VERSION = 1;
+
+        /** Returns the Hello of this build. */
+        public static Hello of(Incarnation sender, FailureDomain domain) {
+            return new Hello(VERSION, sender, domain);
+        }
+    }
+
+    /**
+     * Tells that the sender is alive, and what it knows first hand.
+     *
+     * @param sequence increases with each heartbeat of one incarnation
+     * @param settingsVersion the highest settings version the sender has in force
+     * @param endpoints the endpoints that the sender owns
+     * @param demand the sender's recent demand, of at most {@link PeerCodec#MAX_DEMAND} customers
+     */
+    record Heartbeat(long sequence, long settingsVersion, List<EndpointDigest> endpoints, List<DemandDigest> demand)
+            implements PeerMessage {
+        /** Copies the lists. */
+        public Heartbeat {
+            endpoints = List.copyOf(endpoints);
+            demand = List.copyOf(demand);
+        }
+    }
+
+    /** The load of one endpoint as its owner sees it, in slots and in tokens of memory. */
+    record EndpointDigest(
+            EndpointId endpoint, long usedSlots, long boundSlots, long usedTokens, long boundTokens, String state) {}
+
+    /** The recent demand of one customer at the sender. */
+    record DemandDigest(CustomerId customer, double requestsPerSecond, double tokensPerSecond) {}
+
+    /**
+     * Asks the owner of an endpoint for a permit.
+     *
+     * @param callId matches the reply; set by the connection
+     * @param lane the name of the lane
+     * @param weight the customer's weight in fair queueing
+     * @param deadlineMillis the milliseconds left until the request's deadline
+     * @param runsAlone whether the fingerprint is marked by a crash and must not run beside another marked one
+     */
+    record PermitRequest(
+            long callId,
+            RequestId request,
+            Target target,
+            long promptTokens,
+            long totalTokens,
+            String lane,
+            CustomerId customer,
+            double weight,
+            Fingerprint fingerprint,
+            long deadlineMillis,
+            boolean runsAlone)
+            implements PeerMessage {
+        /** Returns the same request under another call id. */
+        public PermitRequest withCallId(long id) {
+            return new PermitRequest(
+                    id,
+                    request,
+                    target,
+                    promptTokens,
+                    totalTokens,
+                    lane,
+                    customer,
+                    weight,
+                    fingerprint,
+                    deadlineMillis,
+                    runsAlone);
+        }
+    }
+
+    /** Where a permit is wanted. */
+    sealed interface Target {}
+
+    /** One endpoint. */
+    record AtEndpoint(EndpointId endpoint) implements Target {}
+
+    /** Any endpoint of a service that the receiver owns; with a model if the service runs models. */
+    record AnyOf(ServiceName service, Optional<ModelName> model) implements Target {}
+
+    /** Answers a {@link PermitRequest}. */
+    record PermitReply(long callId, Decision decision) implements PeerMessage {}
+
+    /** What the owner decided. */
+    sealed interface Decision {}
+
+    /** The sender may start the request within the given time. */
+    record Granted(long permitId, EndpointId endpoint, long fencingNumber, long validMillis) implements Decision {}
+
+    /**
+     * The sender may not start the request.
+     *
+     * @param reason a short stable code
+     * @param ownerHint the owner to ask, if the receiver does not own the endpoint and knows who does
+     * @param retryAfterMillis when asking again may help
+     */
+    record Refused(String reason, Optional<InstanceId> ownerHint, long retryAfterMillis) implements Decision {}
+
+    /** Returns a permit to the owner. */
+    record PermitRelease(long permitId, EndpointId endpoint, RequestId request, Ending ending) implements PeerMessage {}
+
+    /** How the work under a permit ended. The order is part of the protocol; new values go to the end. */
+    enum Ending {
+        UNUSED,
+        FINISHED,
+        CANCELLED,
+        FAILED,
+        CRASHED
+    }
+
+    /** Passes the ownership of an endpoint and its permits in flight to the receiver. */
+    record Handover(EndpointId endpoint, long fencingNumber, List<HeldPermit> permits) implements PeerMessage {
+        /** Copies the list. */
+        public Handover {
+            permits = List.copyOf(permits);
+        }
+    }
+
+    /** A permit in flight. */
+    record HeldPermit(
+            long permitId,
+            RequestId request,
+            Incarnation holder,
+            long promptTokens,
+            long totalTokens,
+            String lane,
+            CustomerId customer,
+            Fingerprint fingerprint) {}
+
+    /** Tells which fingerprints were in flight at an endpoint that crashed. */
+    record CrashNotice(String crashId, EndpointId endpoint, List<Fingerprint> fingerprints) implements PeerMessage {
+        /** Copies the list. */
+        public CrashNotice {
+            fingerprints = List.copyOf(fingerprints);
+        }
+    }
+
+    /** Asks for the settings if the receiver has a higher version. */
+    record SettingsPull(long version) implements PeerMessage {}
+
+    /** Carries a settings document; the bytes are not copied and must not be changed. */
+    record SettingsPush(long version, byte[] document) implements PeerMessage {
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof SettingsPush push
+                    && push.version == version
+                    && java.util.Arrays.equals(push.document, document);
+        }
+
+        @Override
+        public int hashCode() {
+            return Long.hashCode(version) * 31 + java.util.Arrays.hashCode(document);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/peer/PeerSamples.java
@@ -0,0 +1,80 @@
+package org.jujuberouter.peer;
+
+import java.time.Duration;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import org.jujuberouter.id.CustomerId;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.Fingerprint;
+import org.jujuberouter.id.Incarnation;
+import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.id.ModelName;
+import org.jujuberouter.id.RequestId;
+import org.jujuberouter.id.ServiceName;
+import org.jujuberouter.peer.PeerMessage.AnyOf;
+import org.jujuberouter.peer.PeerMessage.AtEndpoint;
+import org.jujuberouter.peer.PeerMessage.CrashNotice;
+import org.jujuberouter.peer.PeerMessage.DemandDigest;
+import org.jujuberouter.peer.PeerMessage.Ending;
+import org.jujuberouter.peer.PeerMessage.EndpointDigest;
+import org.jujuberouter.peer.PeerMessage.Granted;
+import org.jujuberouter.peer.PeerMessage.Handover;
+import org.jujuberouter.peer.PeerMessage.Heartbeat;
+import org.jujuberouter.peer.PeerMessage.HeldPermit;
+import org.jujuberouter.peer.PeerMessage.Hello;
+import org.jujuberouter.peer.PeerMessage.PermitRelease;
+import org.jujuberouter.peer.PeerMessage.PermitReply;
+import org.jujuberouter.peer.PeerMessage.PermitRequest;
+import org.jujuberouter.peer.PeerMessage.Refused;
+import org.jujuberouter.peer.PeerMessage.SettingsPull;
+import org.jujuberouter.peer.PeerMessage.SettingsPush;
+
+/** Messages with ids of the usual length and load of the design size, for measuring. */
+public final class PeerSamples {
+    private static final Incarnation HOLDER = Incarnation.of(InstanceId.of("kk-entry-03"), 48_213);
+    private static final EndpointId ENDPOINT = EndpointId.of("kk-engine-17");
+    private static final CustomerId CUSTOMER = CustomerId.of("phaen-khai-large-2");
+    private static final RequestId REQUEST = RequestId.of("kk-entry-03.48213.1048577");
+    private static final Fingerprint FINGERPRINT = Fingerprint.of("9f86d081884c7d659a2feaa0c55ad015");
+
+    private PeerSamples() {}
+
+    /** Returns at least one message of each kind. */
+    public static List<PeerMessage> all() {
+        EndpointDigest endpoint = new EndpointDigest(ENDPOINT, 11, 32, 412_000, 1_600_000, "serving");
+        DemandDigest demand = new DemandDigest(CUSTOMER, 12.5, 41_000.25);
+        HeldPermit permit = new HeldPermit(90_001, REQUEST, HOLDER, 7_800, 8_312, "short", CUSTOMER, FINGERPRINT);
+        return List.of(
+                Hello.of(HOLDER, FailureDomain.of("khon-kaen")),
+                new Heartbeat(86_400, 1_912, Collections.nCopies(4, endpoint), Collections.nCopies(10, demand)),
+                request(new AtEndpoint(ENDPOINT)),
+                request(new AnyOf(ServiceName.of("assistant"), Optional.of(ModelName.of("tray-70b")))),
+                request(new AnyOf(ServiceName.of("ledger"), Optional.empty())),
+                new PermitReply(7, new Granted(90_001, ENDPOINT, 17, 1_000)),
+                new PermitReply(7, new Refused("not-owner", Optional.of(HOLDER.instance()), 0)),
+                new PermitReply(7, new Refused("full", Optional.empty(), 250)),
+                new PermitRelease(90_001, ENDPOINT, REQUEST, Ending.FINISHED),
+                new Handover(ENDPOINT, 17, Collections.nCopies(8, permit)),
+                new CrashNotice("kk-entry-03.48213.crash.2", ENDPOINT, Collections.nCopies(8, FINGERPRINT)),
+                new SettingsPull(1_912),
+                new SettingsPush(1_913, new byte[126_000]));
+    }
+
+    /** Returns a permit request of a short prompt. */
+    public static PermitRequest request(PeerMessage.Target target) {
+        return new PermitRequest(
+                7,
+                REQUEST,
+                target,
+                7_800,
+                8_312,
+                "short",
+                CUSTOMER,
+                1.0,
+                FINGERPRINT,
+                Duration.ofSeconds(30).toMillis(),
+                false);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jujuberouter/peer/PeerCodecTest.java
@@ -0,0 +1,130 @@
+package org.jujuberouter.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.jujuberouter.id.CustomerId;
+import org.jujuberouter.peer.PeerException.Kind;
+import org.jujuberouter.peer.PeerMessage.DemandDigest;
+import org.jujuberouter.peer.PeerMessage.Heartbeat;
+import org.jujuberouter.peer.PeerMessage.Hello;
+import org.jujuberouter.peer.PeerMessage.SettingsPull;
+import org.jujuberouter.peer.PeerMessage.SettingsPush;
+import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+
+/** Guards against messages that change on the way and against bytes that harm their reader. */
+class PeerCodecTest {
+    private static final int FUZZ_FRAMES = 200_000;
+
+    @Test
+    void decodesEachMessageToWhatWasEncoded() throws Exception {
+        for (PeerMessage message : PeerSamples.all()) {
+            assertEquals(message, PeerCodec.decode(PeerCodec.encode(message)));
+        }
+    }
+
+    @Test
+    void ignoresFieldsThatALaterMinorVersionAdded() throws Exception {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            out.packArrayHeader(4).packInt(PeerCodec.SETTINGS_PULL).packLong(9);
+            out.packArrayHeader(1).packString("later").packMapHeader(0);
+            assertEquals(new SettingsPull(9), PeerCodec.decode(out.toByteArray()));
+        }
+    }
+
+    @Test
+    void namesWrongMagicAndOtherVersionsBeforeItReadsFurther() throws Exception {
+        assertEquals(Kind.WRONG_MAGIC, decodeFault(hello("other", 1)).kind());
+        PeerException newer = decodeFault(hello(Hello.MAGIC, 2));
+        assertEquals("the peer speaks version 2 of the protocol, this instance speaks version 1", newer.getMessage());
+    }
+
+    @Test
+    void reportsEachPrefixOfAMessageAsTruncated() throws Exception {
+        for (PeerMessage message : PeerSamples.all()) {
+            byte[] whole = PeerCodec.encode(message);
+            for (int cut = 1; cut < whole.length; cut += 1 + whole.length / 4096) {
+                PeerException e = decodeFault(Arrays.copyOf(whole, cut));
+                assertEquals(Kind.TRUNCATED, e.kind(), e.getMessage());
+            }
+        }
+    }
+
+    @Test
+    void refusesToEncodeOrDecodeAboveTheBounds() throws Exception {
+        SettingsPush push = new SettingsPush(1, new byte[PeerCodec.MAX_DOCUMENT_BYTES + 1]);
+        assertEquals(
+                Kind.OVERSIZED,
+                assertThrows(PeerException.class, () -> PeerCodec.encode(push)).kind());
+        DemandDigest demand = new DemandDigest(CustomerId.of("c"), 1, 1);
+        Heartbeat crowded = new Heartbeat(1, 1, List.of(), Collections.nCopies(33, demand));
+        PeerException e = assertThrows(PeerException.class, () -> PeerCodec.encode(crowded));
+        assertEquals("count of demand is 33, the bound is 32", e.getMessage());
+        assertEquals(
+                Kind.OVERSIZED,
+                decodeFault(new byte[PeerCodec.MAX_FRAME_BYTES + 1]).kind());
+        SettingsPush largest = new SettingsPush(Long.MAX_VALUE, new byte[PeerCodec.MAX_DOCUMENT_BYTES]);
+        assertEquals(largest, PeerCodec.decode(PeerCodec.encode(largest)));
+    }
+
+    @Test
+    void refusesBytesAfterTheMessage() throws Exception {
+        byte[] whole = PeerCodec.encode(new SettingsPull(3));
+        assertEquals(
+                "malformed frame: 2 bytes after the message",
+                decodeFault(Arrays.copyOf(whole, whole.length + 2)).getMessage());
+    }
+
+    /** A frame either decodes to a message that encodes again, or fails with the one checked exception. */
+    @Test
+    void survivesRandomAndMutatedFrames() throws Exception {
+        Random random = new Random(20260);
+        List<PeerMessage> samples = PeerSamples.all();
+        int decoded = 0;
+        for (int i = 0; i < FUZZ_FRAMES; i++) {
+            byte[] frame = i % 4 == 0
+                    ? randomBytes(random)
+                    : mutated(random, PeerCodec.encode(samples.get(random.nextInt(samples.size()))));
+            try {
+                PeerMessage message = PeerCodec.decode(frame);
+                assertEquals(message, PeerCodec.decode(PeerCodec.encode(message)));
+                decoded++;
+            } catch (PeerException e) {
+                assertTrue(e.getMessage() != null && e.kind() != Kind.CLOSED);
+            }
+        }
+        assertTrue(decoded > 1000, "only " + decoded + " frames decoded; the mutations are too coarse to test much");
+    }
+
+    private static byte[] randomBytes(Random random) {
+        byte[] bytes = new byte[random.nextInt(200)];
+        random.nextBytes(bytes);
+        return bytes;
+    }
+
+    private static byte[] mutated(Random random, byte[] frame) {
+        byte[] copy = random.nextInt(4) == 0 ? Arrays.copyOf(frame, random.nextInt(frame.length + 8)) : frame;
+        for (int n = random.nextInt(4); n >= 0 && copy.length > 0; n--) {
+            copy[random.nextInt(copy.length)] = (byte) random.nextInt(256);
+        }
+        return copy;
+    }
+
+    private static byte[] hello(String magic, int version) throws Exception {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            out.packArrayHeader(3).packInt(PeerCodec.HELLO).packString(magic).packInt(version);
+            return out.toByteArray();
+        }
+    }
+
+    private static PeerException decodeFault(byte[] frame) {
+        return assertThrows(PeerException.class, () -> PeerCodec.decode(frame));
+    }
+}
