Add messages for stages, holders' reports and consent to runs

Cause: an owner must know when work under a permit started, which permits a holder still has, and the arbiter of a fingerprint must be asked before each run. Change: PermitStage, HolderReport, ClearNotice, RunRequest, RunReply, RunEnded; heartbeats say whether the sender is leaving, endpoint digests carry model and memory. Offsets of engine streams count characters, so that text can be cut. Conclusion: codec round trip and fuzz tests cover the new messages.

--- a/src/main/java/org/jujuberouter/entry/CompletionCall.java
+++ b/src/main/java/org/jujuberouter/entry/CompletionCall.java
@@ -89,7 +89,7 @@
     ObjectNode continuationBody(String textSoFar, long tokensSoFar) {
         ObjectNode copy = engineBody();
         copy.put("continue_text", textSoFar);
-        copy.put("continue_offset", tokensSoFar);
+        copy.put("max_tokens", Math.max(1, maxTokens - tokensSoFar));
         return copy;
     }
 
--- a/src/main/java/org/jujuberouter/peer/FieldWriter.java
+++ b/src/main/java/org/jujuberouter/peer/FieldWriter.java
@@ -7,6 +7,7 @@
 import org.jujuberouter.peer.PeerException.Kind;
 import org.jujuberouter.peer.PeerMessage.AnyOf;
 import org.jujuberouter.peer.PeerMessage.AtEndpoint;
+import org.jujuberouter.peer.PeerMessage.ClearNotice;
 import org.jujuberouter.peer.PeerMessage.CrashNotice;
 import org.jujuberouter.peer.PeerMessage.Decision;
 import org.jujuberouter.peer.PeerMessage.DemandDigest;
@@ -16,10 +17,15 @@
 import org.jujuberouter.peer.PeerMessage.Heartbeat;
 import org.jujuberouter.peer.PeerMessage.HeldPermit;
 import org.jujuberouter.peer.PeerMessage.Hello;
+import org.jujuberouter.peer.PeerMessage.HolderReport;
 import org.jujuberouter.peer.PeerMessage.PermitRelease;
 import org.jujuberouter.peer.PeerMessage.PermitReply;
 import org.jujuberouter.peer.PeerMessage.PermitRequest;
+import org.jujuberouter.peer.PeerMessage.PermitStage;
 import org.jujuberouter.peer.PeerMessage.Refused;
+import org.jujuberouter.peer.PeerMessage.RunEnded;
+import org.jujuberouter.peer.PeerMessage.RunReply;
+import org.jujuberouter.peer.PeerMessage.RunRequest;
 import org.jujuberouter.peer.PeerMessage.SettingsPull;
 import org.jujuberouter.peer.PeerMessage.SettingsPush;
 import org.jujuberouter.peer.PeerMessage.Target;
@@ -52,13 +58,30 @@
                         .text(m.request())
                         .number(m.ending().ordinal());
             case Handover m -> handover(m);
-            case CrashNotice m -> {
-                type(PeerCodec.CRASH_NOTICE, 3).text(m.crashId()).text(m.endpoint());
-                list("fingerprints", PeerCodec.MAX_FINGERPRINTS, m.fingerprints());
-                for (var f : m.fingerprints()) {
-                    text(f);
-                }
+            case PermitStage m ->
+                type(PeerCodec.PERMIT_STAGE, 3)
+                        .text(m.endpoint())
+                        .text(m.request())
+                        .number(m.stage().ordinal());
+            case HolderReport m -> {
+                type(PeerCodec.HOLDER_REPORT, 2).text(m.endpoint());
+                permits(m.permits());
             }
+            case CrashNotice m -> type(PeerCodec.CRASH_NOTICE, 3).crash(m);
+            case ClearNotice m -> clear(m);
+            case RunRequest m ->
+                type(PeerCodec.RUN_REQUEST, 4)
+                        .number(m.callId())
+                        .text(m.fingerprint())
+                        .text(m.run())
+                        .number(m.deadlineMillis());
+            case RunReply m -> runReply(m);
+            case RunEnded m ->
+                type(PeerCodec.RUN_ENDED, 4)
+                        .text(m.fingerprint())
+                        .text(m.run())
+                        .number(m.ending().ordinal())
+                        .textOrNil(m.endpoint().orElse(null));
             case SettingsPull m -> type(PeerCodec.SETTINGS_PULL, 1).number(m.version());
             case SettingsPush m -> {
                 PeerCodec.requireBound("size of the document", m.document().length, PeerCodec.MAX_DOCUMENT_BYTES);
@@ -68,23 +91,55 @@
         }
     }
 
+    private void clear(ClearNotice m) throws IOException, PeerException {
+        type(PeerCodec.CLEAR_NOTICE, 3).text(m.fingerprint());
+        list("crash ids", PeerCodec.MAX_CRASHES, m.crashIds());
+        for (String id : m.crashIds()) {
+            text(id);
+        }
+        number(m.ageMillis());
+    }
+
+    private void runReply(RunReply m) throws IOException, PeerException {
+        type(PeerCodec.RUN_REPLY, 4)
+                .number(m.callId())
+                .number(m.verdict().ordinal())
+                .number(m.waitMillis());
+        list("marks", PeerCodec.MAX_CRASHES, m.marks());
+        for (CrashNotice mark : m.marks()) {
+            out.packArrayHeader(3);
+            crash(mark);
+        }
+    }
+
+    private void crash(CrashNotice m) throws IOException, PeerException {
+        text(m.crashId()).text(m.endpoint());
+        list("fingerprints", PeerCodec.MAX_FINGERPRINTS, m.fingerprints());
+        for (var f : m.fingerprints()) {
+            text(f);
+        }
+    }
+
     private void heartbeat(Heartbeat m) throws IOException, PeerException {
-        type(PeerCodec.HEARTBEAT, 4).number(m.sequence()).number(m.settingsVersion());
+        type(PeerCodec.HEARTBEAT, 5).number(m.sequence()).number(m.settingsVersion());
         list("endpoints", PeerCodec.MAX_ENDPOINTS, m.endpoints());
         for (EndpointDigest e : m.endpoints()) {
-            out.packArrayHeader(6);
+            out.packArrayHeader(8);
             text(e.endpoint())
                     .number(e.usedSlots())
                     .number(e.boundSlots())
                     .number(e.usedTokens())
                     .number(e.boundTokens())
-                    .text(e.state());
+                    .text(e.state())
+                    .text(e.model())
+                    .number(e.memoryTokens());
         }
         list("demand", PeerCodec.MAX_DEMAND, m.demand());
         for (DemandDigest d : m.demand()) {
             out.packArrayHeader(3);
             text(d.customer()).real(d.requestsPerSecond()).real(d.tokensPerSecond());
         }
+        out.packBoolean(m.leaving());
     }
 
     private void permitRequest(PermitRequest m) throws IOException, PeerException {
@@ -104,8 +159,12 @@
 
     private void handover(Handover m) throws IOException, PeerException {
         type(PeerCodec.HANDOVER, 3).text(m.endpoint()).number(m.fencingNumber());
-        list("permits", PeerCodec.MAX_PERMITS, m.permits());
-        for (HeldPermit p : m.permits()) {
+        permits(m.permits());
+    }
+
+    private void permits(Collection<HeldPermit> permits) throws IOException, PeerException {
+        list("permits", PeerCodec.MAX_PERMITS, permits);
+        for (HeldPermit p : permits) {
             out.packArrayHeader(9);
             number(p.permitId())
                     .text(p.request())
--- a/src/main/java/org/jujuberouter/peer/PeerCodec.java
+++ b/src/main/java/org/jujuberouter/peer/PeerCodec.java
@@ -15,6 +15,7 @@
 import org.jujuberouter.peer.PeerException.Kind;
 import org.jujuberouter.peer.PeerMessage.AnyOf;
 import org.jujuberouter.peer.PeerMessage.AtEndpoint;
+import org.jujuberouter.peer.PeerMessage.ClearNotice;
 import org.jujuberouter.peer.PeerMessage.CrashNotice;
 import org.jujuberouter.peer.PeerMessage.Decision;
 import org.jujuberouter.peer.PeerMessage.DemandDigest;
@@ -25,12 +26,20 @@
 import org.jujuberouter.peer.PeerMessage.Heartbeat;
 import org.jujuberouter.peer.PeerMessage.HeldPermit;
 import org.jujuberouter.peer.PeerMessage.Hello;
+import org.jujuberouter.peer.PeerMessage.HolderReport;
 import org.jujuberouter.peer.PeerMessage.PermitRelease;
 import org.jujuberouter.peer.PeerMessage.PermitReply;
 import org.jujuberouter.peer.PeerMessage.PermitRequest;
+import org.jujuberouter.peer.PeerMessage.PermitStage;
 import org.jujuberouter.peer.PeerMessage.Refused;
+import org.jujuberouter.peer.PeerMessage.RunEnded;
+import org.jujuberouter.peer.PeerMessage.RunEnding;
+import org.jujuberouter.peer.PeerMessage.RunReply;
+import org.jujuberouter.peer.PeerMessage.RunRequest;
+import org.jujuberouter.peer.PeerMessage.RunVerdict;
 import org.jujuberouter.peer.PeerMessage.SettingsPull;
 import org.jujuberouter.peer.PeerMessage.SettingsPush;
+import org.jujuberouter.peer.PeerMessage.Stage;
 import org.jujuberouter.peer.PeerMessage.Target;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessageInsufficientBufferException;
@@ -66,6 +75,9 @@
     /** The most fingerprints in a crash notice. */
     public static final int MAX_FINGERPRINTS = 2048;
 
+    /** The most crashes that one message names for a fingerprint; two convict it. */
+    public static final int MAX_CRASHES = 64;
+
     static final int HELLO = 0;
     static final int HEARTBEAT = 1;
     static final int PERMIT_REQUEST = 2;
@@ -75,6 +87,12 @@
     static final int CRASH_NOTICE = 6;
     static final int SETTINGS_PULL = 7;
     static final int SETTINGS_PUSH = 8;
+    static final int PERMIT_STAGE = 9;
+    static final int HOLDER_REPORT = 10;
+    static final int CLEAR_NOTICE = 11;
+    static final int RUN_REQUEST = 12;
+    static final int RUN_REPLY = 13;
+    static final int RUN_ENDED = 14;
 
     static final int AT_ENDPOINT = 0;
     static final int ANY_OF = 1;
@@ -118,7 +136,7 @@
         long type = in.number("type");
         return switch ((int) Math.min(type, Integer.MAX_VALUE)) {
             case HELLO -> hello(in, fields);
-            case HEARTBEAT -> body(in, "Heartbeat", fields, 4, PeerCodec::heartbeat);
+            case HEARTBEAT -> body(in, "Heartbeat", fields, 5, PeerCodec::heartbeat);
             case PERMIT_REQUEST -> body(in, "PermitRequest", fields, 11, PeerCodec::permitRequest);
             case PERMIT_REPLY ->
                 body(in, "PermitReply", fields, 2, r -> new PermitReply(r.number("call id"), decision(r)));
@@ -128,6 +146,71 @@
             case SETTINGS_PULL -> body(in, "SettingsPull", fields, 1, r -> new SettingsPull(r.number("version")));
             case SETTINGS_PUSH ->
                 body(in, "SettingsPush", fields, 2, r -> new SettingsPush(r.number("version"), r.bytes("document")));
+            case PERMIT_STAGE, HOLDER_REPORT -> readHolder(in, fields, (int) type);
+            case CLEAR_NOTICE, RUN_REQUEST, RUN_REPLY, RUN_ENDED -> readRun(in, fields, (int) type);
+            default -> throw PeerException.of(Kind.UNKNOWN_TYPE, type);
+        };
+    }
+
+    private static PeerMessage readHolder(FieldReader in, int fields, int type) throws IOException, PeerException {
+        return switch (type) {
+            case PERMIT_STAGE ->
+                body(
+                        in,
+                        "PermitStage",
+                        fields,
+                        3,
+                        r -> new PermitStage(
+                                r.id("endpoint", EndpointId::of),
+                                r.id("request", RequestId::of),
+                                value(r, Stage.values())));
+            case HOLDER_REPORT ->
+                body(
+                        in,
+                        "HolderReport",
+                        fields,
+                        2,
+                        r -> new HolderReport(r.id("endpoint", EndpointId::of), permits(r)));
+            default -> throw PeerException.of(Kind.UNKNOWN_TYPE, type);
+        };
+    }
+
+    private static PeerMessage readRun(FieldReader in, int fields, int type) throws IOException, PeerException {
+        return switch (type) {
+            case CLEAR_NOTICE -> body(in, "ClearNotice", fields, 3, PeerCodec::clearNotice);
+            case RUN_REQUEST ->
+                body(
+                        in,
+                        "RunRequest",
+                        fields,
+                        4,
+                        r -> new RunRequest(
+                                r.number("call id"),
+                                r.id("fingerprint", Fingerprint::of),
+                                r.id("run", RequestId::of),
+                                r.number("deadline")));
+            case RUN_REPLY ->
+                body(
+                        in,
+                        "RunReply",
+                        fields,
+                        4,
+                        r -> new RunReply(
+                                r.number("call id"),
+                                value(r, RunVerdict.values()),
+                                r.number("wait"),
+                                r.list("marks", MAX_CRASHES, e -> e.group("mark", 3, PeerCodec::crashNotice))));
+            case RUN_ENDED ->
+                body(
+                        in,
+                        "RunEnded",
+                        fields,
+                        4,
+                        r -> new RunEnded(
+                                r.id("fingerprint", Fingerprint::of),
+                                r.id("run", RequestId::of),
+                                value(r, RunEnding.values()),
+                                r.optionalId("endpoint", EndpointId::of)));
             default -> throw PeerException.of(Kind.UNKNOWN_TYPE, type);
         };
     }
@@ -170,9 +253,9 @@
         long sequence = in.number("sequence");
         long version = in.number("settings version");
         List<EndpointDigest> endpoints =
-                in.list("endpoints", MAX_ENDPOINTS, e -> e.group("endpoint digest", 6, PeerCodec::endpointDigest));
+                in.list("endpoints", MAX_ENDPOINTS, e -> e.group("endpoint digest", 8, PeerCodec::endpointDigest));
         List<DemandDigest> demand = in.list("demand", MAX_DEMAND, e -> e.group("demand digest", 3, PeerCodec::demand));
-        return new Heartbeat(sequence, version, endpoints, demand);
+        return new Heartbeat(sequence, version, endpoints, demand, in.flag());
     }
 
     private static EndpointDigest endpointDigest(FieldReader in) throws IOException, PeerException {
@@ -182,7 +265,9 @@
                 in.number("bound of slots"),
                 in.number("used tokens"),
                 in.number("bound of tokens"),
-                in.text("state"));
+                in.text("state"),
+                in.text("model"),
+                in.number("memory in tokens"));
     }
 
     private static DemandDigest demand(FieldReader in) throws IOException, PeerException {
@@ -245,18 +330,32 @@
         long permit = in.number("permit");
         EndpointId endpoint = in.id("endpoint", EndpointId::of);
         RequestId request = in.id("request", RequestId::of);
-        long ending = in.number("ending");
-        if (ending >= Ending.values().length) {
-            throw PeerException.of(Kind.MALFORMED, "ending", "unknown value " + ending);
+        return new PermitRelease(permit, endpoint, request, value(in, Ending.values()));
+    }
+
+    private static <E extends Enum<E>> E value(FieldReader in, E[] values) throws IOException, PeerException {
+        String what = values[0].getDeclaringClass().getSimpleName();
+        long number = in.number(what);
+        if (number >= values.length) {
+            throw PeerException.of(Kind.MALFORMED, what, "unknown value " + number);
         }
-        return new PermitRelease(permit, endpoint, request, Ending.values()[(int) ending]);
+        return values[(int) number];
+    }
+
+    private static ClearNotice clearNotice(FieldReader in) throws IOException, PeerException {
+        Fingerprint fingerprint = in.id("fingerprint", Fingerprint::of);
+        return new ClearNotice(
+                fingerprint, in.list("crash ids", MAX_CRASHES, e -> e.text("crash id")), in.number("age"));
     }
 
     private static Handover handover(FieldReader in) throws IOException, PeerException {
         EndpointId endpoint = in.id("endpoint", EndpointId::of);
         long fencing = in.number("fencing number");
-        return new Handover(
-                endpoint, fencing, in.list("permits", MAX_PERMITS, e -> e.group("permit", 9, PeerCodec::heldPermit)));
+        return new Handover(endpoint, fencing, permits(in));
+    }
+
+    private static List<HeldPermit> permits(FieldReader in) throws IOException, PeerException {
+        return in.list("permits", MAX_PERMITS, e -> e.group("permit", 9, PeerCodec::heldPermit));
     }
 
     private static HeldPermit heldPermit(FieldReader in) throws IOException, PeerException {
--- a/src/main/java/org/jujuberouter/peer/PeerConnection.java
+++ b/src/main/java/org/jujuberouter/peer/PeerConnection.java
@@ -22,8 +22,6 @@
 import org.jujuberouter.misc.Ticker;
 import org.jujuberouter.peer.PeerException.Kind;
 import org.jujuberouter.peer.PeerMessage.Hello;
-import org.jujuberouter.peer.PeerMessage.PermitReply;
-import org.jujuberouter.peer.PeerMessage.PermitRequest;
 
 /**
  * A persistent connection to one peer.
@@ -51,7 +49,7 @@
     private final BlockingQueue<byte[]> queue = new ArrayBlockingQueue<>(MAX_QUEUED_FRAMES);
     private final AtomicLong queuedBytes = new AtomicLong();
     private final AtomicLong nextCall = new AtomicLong(1);
-    private final Map<Long, CompletableFuture<PermitReply>> pending = new ConcurrentHashMap<>();
+    private final Map<Long, CompletableFuture<PeerMessage.Reply>> pending = new ConcurrentHashMap<>();
     private final AtomicReference<String> closeReason = new AtomicReference<>();
     private volatile Hello peer;
     private volatile long lastReceived;
@@ -93,12 +91,13 @@
     }
 
     /** Sends the request under a new call id and waits for its reply; a reply after the timeout goes to the listener. */
-    public PermitReply call(PermitRequest request, Duration timeout) throws PeerException, InterruptedException {
+    public PeerMessage.Reply call(PeerMessage.Call request, Duration timeout)
+            throws PeerException, InterruptedException {
         long id = nextCall.getAndIncrement();
         if (pending.size() >= MAX_PENDING_CALLS) {
             throw PeerException.of(Kind.OVERSIZED, "count of pending calls", pending.size(), MAX_PENDING_CALLS);
         }
-        CompletableFuture<PermitReply> reply = new CompletableFuture<>();
+        CompletableFuture<PeerMessage.Reply> reply = new CompletableFuture<>();
         pending.put(id, reply);
         try {
             send(request.withCallId(id));
@@ -215,8 +214,8 @@
                 peer = hello;
                 listener.onConnected(hello.sender(), hello.domain());
             }
-            case PermitReply reply -> {
-                CompletableFuture<PermitReply> waiting = pending.remove(reply.callId());
+            case PeerMessage.Reply reply -> {
+                CompletableFuture<PeerMessage.Reply> waiting = pending.remove(reply.callId());
                 if (waiting == null || !waiting.complete(reply)) {
                     listener.onMessage(this, reply);
                 }
--- a/src/main/java/org/jujuberouter/peer/PeerMessage.java
+++ b/src/main/java/org/jujuberouter/peer/PeerMessage.java
@@ -41,8 +41,14 @@
      * @param settingsVersion the highest settings version the sender has in force
      * @param endpoints the endpoints that the sender owns
      * @param demand the sender's recent demand, of at most {@link PeerCodec#MAX_DEMAND} customers
+     * @param leaving whether the sender is stopping as planned
      */
-    record Heartbeat(long sequence, long settingsVersion, List<EndpointDigest> endpoints, List<DemandDigest> demand)
+    record Heartbeat(
+            long sequence,
+            long settingsVersion,
+            List<EndpointDigest> endpoints,
+            List<DemandDigest> demand,
+            boolean leaving)
             implements PeerMessage {
         /** Copies the lists. */
         public Heartbeat {
@@ -51,13 +57,41 @@
         }
     }
 
-    /** The load of one endpoint as its owner sees it, in slots and in tokens of memory. */
+    /**
+     * The load of one endpoint as its owner sees it, in slots and in tokens of memory.
+     *
+     * @param state whether it serves, in a short stable word
+     * @param model the model it has loaded; empty for a plain service or when it is not known
+     * @param memoryTokens its whole memory in tokens
+     */
     record EndpointDigest(
-            EndpointId endpoint, long usedSlots, long boundSlots, long usedTokens, long boundTokens, String state) {}
+            EndpointId endpoint,
+            long usedSlots,
+            long boundSlots,
+            long usedTokens,
+            long boundTokens,
+            String state,
+            String model,
+            long memoryTokens) {}
 
     /** The recent demand of one customer at the sender. */
     record DemandDigest(CustomerId customer, double requestsPerSecond, double tokensPerSecond) {}
 
+    /** A message that waits for a {@link Reply} with the same call id. */
+    sealed interface Call extends PeerMessage {
+        /** Returns the id that matches the reply; set by the connection. */
+        long callId();
+
+        /** Returns the same message under another call id. */
+        Call withCallId(long id);
+    }
+
+    /** The answer to a {@link Call}. */
+    sealed interface Reply extends PeerMessage {
+        /** Returns the id of the call. */
+        long callId();
+    }
+
     /**
      * Asks the owner of an endpoint for a permit.
      *
@@ -79,8 +113,8 @@
             Fingerprint fingerprint,
             long deadlineMillis,
             boolean runsAlone)
-            implements PeerMessage {
-        /** Returns the same request under another call id. */
+            implements Call {
+        @Override
         public PermitRequest withCallId(long id) {
             return new PermitRequest(
                     id,
@@ -107,7 +141,7 @@
     record AnyOf(ServiceName service, Optional<ModelName> model) implements Target {}
 
     /** Answers a {@link PermitRequest}. */
-    record PermitReply(long callId, Decision decision) implements PeerMessage {}
+    record PermitReply(long callId, Decision decision) implements Reply {}
 
     /** What the owner decided. */
     sealed interface Decision {}
@@ -127,6 +161,25 @@
     /** Returns a permit to the owner. */
     record PermitRelease(long permitId, EndpointId endpoint, RequestId request, Ending ending) implements PeerMessage {}
 
+    /** Tells the owner how far the work under a permit has come. */
+    record PermitStage(EndpointId endpoint, RequestId request, Stage stage) implements PeerMessage {}
+
+    /** The stages of work under a permit. The order is part of the protocol; new values go to the end. */
+    enum Stage {
+        /** The first byte is about to be sent. */
+        STARTED,
+        /** The first token arrived. */
+        PREFILLED
+    }
+
+    /** Names all permits of the sender for one endpoint, so that the owner can free those it lost track of. */
+    record HolderReport(EndpointId endpoint, List<HeldPermit> permits) implements PeerMessage {
+        /** Copies the list. */
+        public HolderReport {
+            permits = List.copyOf(permits);
+        }
+    }
+
     /** How the work under a permit ended. The order is part of the protocol; new values go to the end. */
     enum Ending {
         UNUSED,
@@ -163,6 +216,58 @@
         }
     }
 
+    /** Tells that a request completed, which clears its marks from the given crashes. */
+    record ClearNotice(Fingerprint fingerprint, List<String> crashIds, long ageMillis) implements PeerMessage {
+        /** Copies the list. */
+        public ClearNotice {
+            crashIds = List.copyOf(crashIds);
+        }
+    }
+
+    /**
+     * Asks the arbiter of a fingerprint for consent to one run.
+     *
+     * @param run names the run
+     * @param deadlineMillis the milliseconds left until the request's deadline
+     */
+    record RunRequest(long callId, Fingerprint fingerprint, RequestId run, long deadlineMillis) implements Call {
+        @Override
+        public RunRequest withCallId(long id) {
+            return new RunRequest(id, fingerprint, run, deadlineMillis);
+        }
+    }
+
+    /**
+     * Answers a {@link RunRequest}.
+     *
+     * @param waitMillis when asking again may help; 0 unless the verdict is to wait
+     * @param marks the crashes that count against the fingerprint
+     */
+    record RunReply(long callId, RunVerdict verdict, long waitMillis, List<CrashNotice> marks) implements Reply {
+        /** Copies the list. */
+        public RunReply {
+            marks = List.copyOf(marks);
+        }
+    }
+
+    /** What an arbiter decided. The order is part of the protocol; new values go to the end. */
+    enum RunVerdict {
+        RUN,
+        WAIT,
+        REFUSE
+    }
+
+    /** Tells the arbiter how a run ended; the endpoint is named when it stopped answering. */
+    record RunEnded(Fingerprint fingerprint, RequestId run, RunEnding ending, Optional<EndpointId> endpoint)
+            implements PeerMessage {}
+
+    /** How a run ended. The order is part of the protocol; new values go to the end. */
+    enum RunEnding {
+        COMPLETED,
+        RELEASED,
+        LOST
+    }
+
     /** Asks for the settings if the receiver has a higher version. */
     record SettingsPull(long version) implements PeerMessage {}
 
--- a/src/main/java/org/jujuberouter/peer/PeerNetwork.java
+++ b/src/main/java/org/jujuberouter/peer/PeerNetwork.java
@@ -22,6 +22,9 @@
 import org.jujuberouter.peer.PeerMessage.Hello;
 import org.jujuberouter.peer.PeerMessage.PermitReply;
 import org.jujuberouter.peer.PeerMessage.PermitRequest;
+import org.jujuberouter.peer.PeerMessage.Reply;
+import org.jujuberouter.peer.PeerMessage.RunReply;
+import org.jujuberouter.peer.PeerMessage.RunRequest;
 
 /**
  * The connections of this instance to its peers.
@@ -108,10 +111,23 @@
         connection(to).send(message);
     }
 
-    /** Asks the peer and waits for its reply. */
+    /** Asks the owner of an endpoint for a permit and waits for its reply. */
     public PermitReply call(InstanceId to, PermitRequest request, Duration timeout)
             throws PeerException, InterruptedException {
-        return connection(to).call(request, timeout);
+        return expect(PermitReply.class, connection(to).call(request, timeout));
+    }
+
+    /** Asks the arbiter of a fingerprint for consent and waits for its reply. */
+    public RunReply call(InstanceId to, RunRequest request, Duration timeout)
+            throws PeerException, InterruptedException {
+        return expect(RunReply.class, connection(to).call(request, timeout));
+    }
+
+    private static <T extends Reply> T expect(Class<T> type, Reply reply) throws PeerException {
+        if (!type.isInstance(reply)) {
+            throw PeerException.of(Kind.MALFORMED, type.getSimpleName(), "the reply has another type");
+        }
+        return type.cast(reply);
     }
 
     /** Queues the message once for each connected peer and returns how many peers took it. */
--- a/src/main/java/org/jujuberouter/peer/PeerSamples.java
+++ b/src/main/java/org/jujuberouter/peer/PeerSamples.java
@@ -15,6 +15,7 @@
 import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.peer.PeerMessage.AnyOf;
 import org.jujuberouter.peer.PeerMessage.AtEndpoint;
+import org.jujuberouter.peer.PeerMessage.ClearNotice;
 import org.jujuberouter.peer.PeerMessage.CrashNotice;
 import org.jujuberouter.peer.PeerMessage.DemandDigest;
 import org.jujuberouter.peer.PeerMessage.Ending;
@@ -24,12 +25,20 @@
 import org.jujuberouter.peer.PeerMessage.Heartbeat;
 import org.jujuberouter.peer.PeerMessage.HeldPermit;
 import org.jujuberouter.peer.PeerMessage.Hello;
+import org.jujuberouter.peer.PeerMessage.HolderReport;
 import org.jujuberouter.peer.PeerMessage.PermitRelease;
 import org.jujuberouter.peer.PeerMessage.PermitReply;
 import org.jujuberouter.peer.PeerMessage.PermitRequest;
+import org.jujuberouter.peer.PeerMessage.PermitStage;
 import org.jujuberouter.peer.PeerMessage.Refused;
+import org.jujuberouter.peer.PeerMessage.RunEnded;
+import org.jujuberouter.peer.PeerMessage.RunEnding;
+import org.jujuberouter.peer.PeerMessage.RunReply;
+import org.jujuberouter.peer.PeerMessage.RunRequest;
+import org.jujuberouter.peer.PeerMessage.RunVerdict;
 import org.jujuberouter.peer.PeerMessage.SettingsPull;
 import org.jujuberouter.peer.PeerMessage.SettingsPush;
+import org.jujuberouter.peer.PeerMessage.Stage;
 
 /** Messages with ids of the usual length and load of the design size, for measuring. */
 public final class PeerSamples {
@@ -43,12 +52,13 @@
 
     /** Returns at least one message of each kind. */
     public static List<PeerMessage> all() {
-        EndpointDigest endpoint = new EndpointDigest(ENDPOINT, 11, 32, 412_000, 1_600_000, "serving");
+        EndpointDigest endpoint =
+                new EndpointDigest(ENDPOINT, 11, 32, 412_000, 1_600_000, "serving", "tray-70b", 1_800_000);
         DemandDigest demand = new DemandDigest(CUSTOMER, 12.5, 41_000.25);
         HeldPermit permit = new HeldPermit(90_001, REQUEST, HOLDER, 7_800, 8_312, "short", CUSTOMER, FINGERPRINT);
         return List.of(
                 Hello.of(HOLDER, FailureDomain.of("khon-kaen")),
-                new Heartbeat(86_400, 1_912, Collections.nCopies(4, endpoint), Collections.nCopies(10, demand)),
+                new Heartbeat(86_400, 1_912, Collections.nCopies(4, endpoint), Collections.nCopies(10, demand), false),
                 request(new AtEndpoint(ENDPOINT)),
                 request(new AnyOf(ServiceName.of("assistant"), Optional.of(ModelName.of("tray-70b")))),
                 request(new AnyOf(ServiceName.of("ledger"), Optional.empty())),
@@ -57,11 +67,21 @@
                 new PermitReply(7, new Refused("full", Optional.empty(), 250)),
                 new PermitRelease(90_001, ENDPOINT, REQUEST, Ending.FINISHED),
                 new Handover(ENDPOINT, 17, Collections.nCopies(8, permit)),
-                new CrashNotice("kk-entry-03.48213.crash.2", ENDPOINT, Collections.nCopies(8, FINGERPRINT)),
+                crash(8),
+                new PermitStage(ENDPOINT, REQUEST, Stage.PREFILLED),
+                new HolderReport(ENDPOINT, Collections.nCopies(8, permit)),
+                new ClearNotice(FINGERPRINT, List.of("kk-entry-03.48213.crash.2"), 1_200),
+                new RunRequest(8, FINGERPRINT, REQUEST, 30_000),
+                new RunReply(8, RunVerdict.WAIT, 250, List.of(crash(1))),
+                new RunEnded(FINGERPRINT, REQUEST, RunEnding.LOST, Optional.of(ENDPOINT)),
                 new SettingsPull(1_912),
                 new SettingsPush(1_913, new byte[126_000]));
     }
 
+    private static CrashNotice crash(int fingerprints) {
+        return new CrashNotice("kk-entry-03.48213.crash.2", ENDPOINT, Collections.nCopies(fingerprints, FINGERPRINT));
+    }
+
     /** Returns a permit request of a short prompt. */
     public static PermitRequest request(PeerMessage.Target target) {
         return new PermitRequest(
--- a/src/main/java/org/jujuberouter/standin/EngineServer.java
+++ b/src/main/java/org/jujuberouter/standin/EngineServer.java
@@ -150,7 +150,7 @@
         ServedRequest served = ServedRequest.parse(body, chat);
         model.submit(served.toModel(id, priority(exchange), settings.blockTokens()));
         requests.put(id, served);
-        stream(exchange, id, served, served.base());
+        stream(exchange, id, served, 0);
     }
 
     private static int priority(HttpExchange exchange) {
@@ -158,12 +158,12 @@
         return text == null ? 0 : Integer.parseInt(text);
     }
 
-    private void stream(HttpExchange exchange, RequestId id, ServedRequest served, int from)
+    private void stream(HttpExchange exchange, RequestId id, ServedRequest served, int first)
             throws IOException, EngineException {
         long opened = System.nanoTime();
         exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
         exchange.sendResponseHeaders(200, 0);
-        int sent = from - served.base();
+        int sent = first;
         while (true) {
             if (silentBefore != 0 && opened <= silentBefore) {
                 sleep(POLL_INTERVAL);
@@ -201,8 +201,8 @@
         } else if (served == null || status.isEmpty()) {
             PlatformReplies.reply(exchange, 404, "request " + id + " is unknown");
         } else if (resume) {
-            long offset = PlatformReplies.number(PlatformReplies.query(exchange), "offset", served.base());
-            stream(exchange, id, served, Math.toIntExact(offset));
+            long offset = PlatformReplies.number(PlatformReplies.query(exchange), "offset", 0);
+            stream(exchange, id, served, served.tokensBefore(offset));
         } else {
             PlatformReplies.replyJson(exchange, describe(status.get()));
         }
@@ -210,13 +210,13 @@
 
     private ObjectNode describe(RequestStatus s) {
         ServedRequest served = requests.get(s.id());
-        int base = served == null ? 0 : served.base();
+        long offset = served == null ? 0 : served.textLength(s.offset());
         return Json.MAPPER
                 .createObjectNode()
                 .put("id", s.id().value())
                 .put("state", s.state().name().toLowerCase(Locale.ROOT))
                 .put("prefilled", s.prefilled())
-                .put("offset", base + s.offset())
+                .put("offset", offset)
                 .put("kv_tokens", s.kvTokens())
                 .put("held_bytes", s.heldBytes());
     }
--- a/src/main/java/org/jujuberouter/standin/ServedRequest.java
+++ b/src/main/java/org/jujuberouter/standin/ServedRequest.java
@@ -36,12 +36,17 @@
         String prompt =
                 chat ? body.path("messages").toString() : body.path("prompt").asText();
         Matcher found = MARKER.matcher(prompt);
+        int base = (int) body.path("continue_text")
+                .asText("")
+                .chars()
+                .filter(c -> c == ' ')
+                .count();
         return new ServedRequest(
                 prompt,
                 body.path("model").asText(),
                 found.find() ? found.group() : "",
-                body.path("continue_offset").asInt(0),
-                body.path("max_tokens").asInt(DEFAULT_MAX_TOKENS),
+                base,
+                base + body.path("max_tokens").asInt(DEFAULT_MAX_TOKENS),
                 chat);
     }
 
@@ -75,17 +80,46 @@
         return chain;
     }
 
-    /** Returns the JSON of a piece; the offset counts from the start of this engine's part of the answer. */
-    String chunk(RequestId id, int offset, int count, boolean last) {
+    /** Returns the length in characters of this engine's text before the given token of its part. */
+    long textLength(int tokens) {
+        return lengthOfWords(base + tokens) - lengthOfWords(base);
+    }
+
+    /** Returns the number of whole tokens of this engine's part that lie before a character offset. */
+    int tokensBefore(long offset) {
+        int tokens = 0;
+        while (base + tokens < total && textLength(tokens + 1) <= offset) {
+            tokens++;
+        }
+        return tokens;
+    }
+
+    /** Returns the length of the first n words in a few steps, one for each number of digits. */
+    private static long lengthOfWords(int n) {
+        long length = 0;
+        int digits = 1;
+        for (long from = 0, to = 10; from < n; from = to, to *= 10) {
+            length += (Math.min(to, n) - from) * (digits + 2);
+            digits++;
+        }
+        return length;
+    }
+
+    private static String word(int i) {
+        return "t" + i + " ";
+    }
+
+    /** Returns the JSON of a piece; its offset counts characters from the start of this engine's part of the answer. */
+    String chunk(RequestId id, int first, int count, boolean last) {
         StringBuilder text = new StringBuilder();
-        for (int i = base + offset; i < base + offset + count; i++) {
-            text.append('t').append(i).append(' ');
+        for (int i = base + first; i < base + first + count; i++) {
+            text.append(word(i));
         }
         if (last) {
             text.append(marker);
         }
         ObjectNode node = Json.MAPPER.createObjectNode();
-        node.put("id", id.value()).put("offset", base + offset).put("tokens", count);
+        node.put("id", id.value()).put("offset", textLength(first)).put("tokens", count);
         ObjectNode choice = node.putArray("choices").addObject().put("index", 0);
         if (chat) {
             choice.putObject("delta").put("content", text.toString());
--- a/src/test/java/org/jujuberouter/peer/PeerCodecTest.java
+++ b/src/test/java/org/jujuberouter/peer/PeerCodecTest.java
@@ -64,7 +64,7 @@
                 Kind.OVERSIZED,
                 assertThrows(PeerException.class, () -> PeerCodec.encode(push)).kind());
         DemandDigest demand = new DemandDigest(CustomerId.of("c"), 1, 1);
-        Heartbeat crowded = new Heartbeat(1, 1, List.of(), Collections.nCopies(33, demand));
+        Heartbeat crowded = new Heartbeat(1, 1, List.of(), Collections.nCopies(33, demand), false);
         PeerException e = assertThrows(PeerException.class, () -> PeerCodec.encode(crowded));
         assertEquals("count of demand is 33, the bound is 32", e.getMessage());
         assertEquals(
