Add the membership view

Cause: ownership and heartbeats need to know which instances live, from a list that lags and heartbeats that reach only some instances.

--- /dev/null
+++ b/src/main/java/org/jujuberouter/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Which instances are alive, from the platform's lagging list and from heartbeats. */
+package org.jujuberouter.membership;
