--- /dev/null
+++ b/src/main/java/org/jujuberouter/ownership/OwnerRecord.java
@@ -0,0 +1,49 @@
+package org.jujuberouter.ownership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.jujuberouter.id.Incarnation;
+
+/**
+ * The value of {@code owner/<endpoint>}.
+ *
+ * @param owner the current owner, or null after a release
+ * @param fence increases with every change of owner
+ * @param predecessors earlier owners that are not cleared, oldest first
+ */
+record OwnerRecord(Incarnation owner, long fence, List<Predecessor> predecessors) {
+    /** Returns the record of the first owner. */
+    static OwnerRecord first(Incarnation owner) {
+        return new OwnerRecord(owner, 1, List.of());
+    }
+
+    /** Returns the successor record; the current owner, if any, becomes a predecessor unless it is cleared. */
+    OwnerRecord takenBy(Incarnation next, boolean ownerCleared) {
+        List<Predecessor> all = new ArrayList<>(predecessors);
+        if (owner != null && !ownerCleared) {
+            all.add(new Predecessor(owner, fence, predecessors));
+        }
+        return new OwnerRecord(next, fence + 1, List.copyOf(all));
+    }
+
+    /** Returns the record after a release. */
+    OwnerRecord released() {
+        return new OwnerRecord(null, fence, predecessors);
+    }
+
+    /** Returns the record without the predecessors that are cleared. */
+    OwnerRecord without(List<Predecessor> cleared) {
+        List<Predecessor> rest = new ArrayList<>(predecessors);
+        rest.removeAll(cleared);
+        return new OwnerRecord(owner, fence, List.copyOf(rest));
+    }
+
+    boolean ownedBy(Incarnation incarnation) {
+        return owner != null && owner.equals(incarnation);
+    }
+
+    Optional<Incarnation> currentOwner() {
+        return Optional.ofNullable(owner);
+    }
+}
