--- /dev/null
+++ b/src/main/java/org/jujuberouter/admission/Capacity.java
@@ -0,0 +1,26 @@
+package org.jujuberouter.admission;
+
+/**
+ * An amount of work that an endpoint holds or may hold.
+ *
+ * @param slots requests at the same time
+ * @param tokens tokens of prompts and answers in memory
+ */
+public record Capacity(long slots, long tokens) {
+    /** Nothing at all. */
+    public static final Capacity NONE = new Capacity(0, 0);
+
+    /** Returns the amount. */
+    public static Capacity of(long slots, long tokens) {
+        return new Capacity(slots, tokens);
+    }
+
+    /** Returns this amount doubled the given number of times, but at most the limit. */
+    Capacity doubled(int times, Capacity limit) {
+        return new Capacity(doubled(slots, times, limit.slots), doubled(tokens, times, limit.tokens));
+    }
+
+    private static long doubled(long value, int times, long limit) {
+        return times >= Long.numberOfLeadingZeros(Math.max(1, value)) - 1 ? limit : Math.min(limit, value << times);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/admission/Decision.java
@@ -0,0 +1,21 @@
+package org.jujuberouter.admission;
+
+/** The answer to a permit request. */
+public sealed interface Decision {
+    /**
+     * The request may be sent.
+     *
+     * @param permit the permit
+     */
+    record Granted(Permit permit) implements Decision {}
+
+    /** The request waits; the holder asks again every {@link Permit#ASK_AGAIN}. */
+    record Waiting() implements Decision {}
+
+    /**
+     * The request may not be sent.
+     *
+     * @param reason why
+     */
+    record Refused(Refusal reason) implements Decision {}
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/admission/Holders.java
@@ -0,0 +1,12 @@
+package org.jujuberouter.admission;
+
+import org.jujuberouter.id.Incarnation;
+
+/** What the book must know about the processes that hold permits. */
+public interface Holders {
+    /** Tells whether the holder is believed dead, so that its work may be cancelled. */
+    boolean dead(Incarnation holder);
+
+    /** Tells whether the holder certainly no longer runs, so that it cannot use a permit any more. */
+    boolean gone(Incarnation holder);
+}
