Add routing by cached prefix, load and failure domain

Cause: an instance must order endpoints for a prompt from late cache events and old load reports. Change: routing.Router compares a few endpoints by cost in prompt tokens: believed holders and the rendezvous home of the prefix while their load is bounded, two random ones nearby and two of all. Long prompts are confined to a third of a domain's endpoints, those with the most memory first.

--- /dev/null
+++ b/src/main/java/org/jujuberouter/routing/EndpointState.java
@@ -0,0 +1,106 @@
+package org.jujuberouter.routing;
+
+import java.util.ArrayDeque;
+
+/**
+ * What a router knows about one endpoint.
+ *
+ * <p>The load is the last report, less what the endpoint has processed since, plus what this instance has sent since. The
+ * correction matters because a report is up to a second old, in which a burst would go to whichever endpoint looked idle.
+ */
+final class EndpointState {
+    private static final double NANOS_PER_SECOND = 1e9;
+    /** Work that no report has confirmed for this long is taken as done. */
+    private static final long MAX_UNREPORTED_NANOS = 10_000_000_000L;
+
+    EndpointSpec spec;
+    final long nameHash;
+    EndpointCondition condition = EndpointCondition.SERVING;
+    /** Beliefs about the cache with a lower generation are void. */
+    int cacheGeneration;
+
+    long lastCacheSequence = -1;
+    long gapNanos = Long.MIN_VALUE;
+    private ReportedLoad report;
+    private final ArrayDeque<Work> since = new ArrayDeque<>();
+    private int sentRequests;
+    private long sentPrefill;
+    private long sentKv;
+
+    EndpointState(EndpointSpec spec, long now) {
+        this.spec = spec;
+        this.nameHash = PromptBlocks.mix(spec.id().value().hashCode());
+        this.report = ReportedLoad.idle(now);
+    }
+
+    void report(ReportedLoad newer) {
+        if (newer.takenNanos() < report.takenNanos()) {
+            return;
+        }
+        report = newer;
+        dropSentUntil(newer.takenNanos());
+    }
+
+    Work send(long now, long prefillTokens, long kvTokens) {
+        dropSentUntil(now - MAX_UNREPORTED_NANOS);
+        Work work = new Work(now, prefillTokens, kvTokens);
+        since.addLast(work);
+        sentRequests++;
+        sentPrefill += prefillTokens;
+        sentKv += kvTokens;
+        return work;
+    }
+
+    void prefilled(Work work) {
+        if (work.counted) {
+            sentPrefill -= work.prefillTokens;
+            work.prefillTokens = 0;
+        }
+    }
+
+    void ended(Work work) {
+        if (work.counted) {
+            uncount(work);
+            since.remove(work);
+        }
+    }
+
+    double load(long now, RoutingSettings settings) {
+        double processed = (now - report.takenNanos()) / NANOS_PER_SECOND * settings.prefillTokensPerSecond();
+        return Math.max(0, report.pendingPrefillTokens() - processed)
+                + sentPrefill
+                + settings.requestCost() * (report.requests() + sentRequests);
+    }
+
+    boolean hasRoomFor(long neededTokens) {
+        return report.requests() + sentRequests < report.maxRequests()
+                && report.kvTokens() + sentKv + neededTokens <= spec.kvTokens();
+    }
+
+    private void dropSentUntil(long nanos) {
+        while (!since.isEmpty() && since.peekFirst().sentNanos <= nanos) {
+            uncount(since.removeFirst());
+        }
+    }
+
+    private void uncount(Work work) {
+        work.counted = false;
+        sentRequests--;
+        sentPrefill -= work.prefillTokens;
+        sentKv -= work.kvTokens;
+    }
+
+    /** Work that this instance sent and no report shows yet. */
+    static final class Work {
+        private final long sentNanos;
+        private final long kvTokens;
+        private long prefillTokens;
+        private boolean counted = true;
+
+        private Work(long sentNanos, long prefillTokens, long kvTokens) {
+            this.sentNanos = sentNanos;
+            this.prefillTokens = prefillTokens;
+            this.kvTokens = kvTokens;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Orders the endpoints that may serve a prompt, by placement, cached prefix, load and failure domain. */
+package org.jujuberouter.routing;
--- /dev/null
+++ b/src/test/java/org/jujuberouter/routing/RouterTest.java
@@ -0,0 +1,214 @@
+package org.jujuberouter.routing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.Fingerprint;
+import org.jujuberouter.id.ModelName;
+import org.jujuberouter.id.ServiceName;
+import org.jujuberouter.misc.ManualTicker;
+import org.junit.jupiter.api.Test;
+
+/** Guards against work going to endpoints that must not or cannot take it. */
+class RouterTest {
+    private static final Placement MODEL = Placement.of(ServiceName.of("assistant"), ModelName.of("m"), "", "1");
+    private static final FailureDomain NEAR = FailureDomain.of("d0");
+
+    private final ManualTicker ticker = ManualTicker.atZero();
+    private final Router router = Router.of(RoutingSettings.in(NEAR), ticker, 1);
+
+    private static EndpointId id(int i) {
+        return EndpointId.of("e" + i);
+    }
+
+    /** Nine endpoints in three domains; one in each domain has a larger memory. */
+    private RouterTest() {
+        for (int i = 0; i < 9; i++) {
+            FailureDomain domain = FailureDomain.of("d" + i % 3);
+            router.putEndpoint(new EndpointSpec(id(i), domain, Set.of(MODEL), i < 3 ? 2_000_000 : 450_000));
+        }
+    }
+
+    private static RouteRequest prompt(long tokens, int seed) {
+        long[] contents = new long[(int) (tokens / 256)];
+        contents[0] = seed;
+        return RouteRequest.of(MODEL, tokens, 500, PromptBlocks.ofContents(contents));
+    }
+
+    private EndpointId first(Router from, RouteRequest request) {
+        return assertInstanceOf(RouteResult.Candidates.class, from.route(request))
+                .endpoints()
+                .getFirst();
+    }
+
+    private Set<EndpointId> everChosen(RouteRequest request) {
+        Set<EndpointId> seen = new java.util.TreeSet<>();
+        for (int i = 0; i < 300; i++) {
+            if (router.route(request) instanceof RouteResult.Candidates c) {
+                seen.addAll(c.endpoints());
+            }
+        }
+        return seen;
+    }
+
+    @Test
+    void neverReturnsAnEndpointThatIsDrainedLeavingOrUnfit() {
+        router.setCondition(id(3), EndpointCondition.LEAVING);
+        router.setCondition(id(4), EndpointCondition.UNFIT);
+        router.setDrainedDomains(Set.of(FailureDomain.of("d2")));
+        RouteRequest request = prompt(1000, 1);
+        router.sent(id(3), request);
+        assertEquals(Set.of(id(0), id(1), id(6), id(7)), everChosen(request));
+        router.setDrainedDomains(Set.of(NEAR, FailureDomain.of("d1"), FailureDomain.of("d2")));
+        assertInstanceOf(RouteResult.NoneAvailable.class, router.route(request));
+    }
+
+    @Test
+    void sendsLongPromptsOnlyWhereTheyFitAndOnlyToTheirSubset() {
+        assertEquals(Set.of(id(0), id(1), id(2)), everChosen(prompt(1_000_000, 1)));
+        assertEquals(Set.of(id(0), id(1), id(2)), everChosen(prompt(100_000, 1)));
+        assertEquals(9, everChosen(prompt(60_000, 1)).size());
+        assertEquals(new RouteResult.TooLarge(2_500_500, 2_000_000), router.route(prompt(2_500_000, 1)));
+        for (int i = 0; i < 3; i++) {
+            router.setCondition(id(i), EndpointCondition.DRAINED);
+        }
+        assertInstanceOf(RouteResult.NoneAvailable.class, router.route(prompt(1_000_000, 1)));
+        assertEquals(3, everChosen(prompt(100_000, 1)).size(), "the subset moves to what serves");
+    }
+
+    @Test
+    void tellsAnUnknownModelFromOneThatIsNotLoaded() {
+        Placement other = Placement.of(ServiceName.of("assistant"), ModelName.of("n"), "", "1");
+        RouteRequest request = RouteRequest.of(other, 10, 10, new long[0]);
+        assertInstanceOf(RouteResult.UnknownModel.class, router.route(request));
+        router.setOffered(Set.of(other));
+        assertInstanceOf(RouteResult.NoneAvailable.class, router.route(request));
+    }
+
+    @Test
+    void followsTheCachedPrefixUntilItsHolderIsLoaded() {
+        RouteRequest request = prompt(8000, 7);
+        router.cacheStored(id(8), 1, request.blocks());
+        assertEquals(id(8), first(router, request));
+        router.reportLoad(id(8), new ReportedLoad(ticker.nanos(), 10, 99, 60_000, 60_000));
+        assertNotEquals(id(8), first(router, request));
+    }
+
+    @Test
+    void spreadsAHotPrefixThatAllRequestsShare() {
+        RouteRequest request = prompt(2048, 7);
+        Map<EndpointId, Integer> sent = new HashMap<>();
+        for (int i = 0; i < 900; i++) {
+            EndpointId target = first(router, request);
+            router.sent(target, request).prefilled();
+            sent.merge(target, 1, Integer::sum);
+        }
+        int most = sent.values().stream().mapToInt(n -> n).max().orElseThrow();
+        assertTrue(most <= 1.5 * 100 + 4096 / 64, "most " + most + " of 900: " + sent);
+        assertEquals(9, sent.size());
+    }
+
+    @Test
+    void stopsBelievingWhenEventsWereLostOrTheCacheIsGone() {
+        RouteRequest request = prompt(8000, 7);
+        EndpointId home = first(router, request);
+        EndpointId holder = home.equals(id(8)) ? id(5) : id(8);
+        router.cacheStored(holder, 1, request.blocks());
+        router.cacheStored(holder, 5, new long[0]);
+        assertEquals(holder, first(router, request), "a gap does not end the belief at once");
+        ticker.advance(Duration.ofSeconds(11));
+        assertNotEquals(holder, first(router, request));
+        router.cacheStored(holder, 6, request.blocks());
+        assertEquals(holder, first(router, request));
+        router.setCondition(holder, EndpointCondition.UNFIT);
+        router.setCondition(holder, EndpointCondition.SERVING);
+        assertNotEquals(holder, first(router, request));
+    }
+
+    @Test
+    void correctsAnOldReportByWhatItSentSince() {
+        for (int i = 0; i < 9; i++) {
+            router.reportLoad(id(i), new ReportedLoad(ticker.nanos(), i == 6 ? 0 : 5, 99, 0, 0));
+        }
+        ticker.advance(Duration.ofMillis(100));
+        for (int i = 0; i < 40; i++) {
+            RouteRequest request = prompt(512, 1000 + i);
+            router.sent(first(router, request), request);
+        }
+        RouteRequest probe = prompt(512, 5000);
+        SentWork burst = router.sent(id(6), prompt(60_000, 9));
+        assertTrue(everFirst(probe).stream().noneMatch(id(6)::equals));
+        burst.ended();
+        router.reportLoad(id(6), new ReportedLoad(ticker.nanos(), 0, 99, 0, 0));
+        assertTrue(everFirst(probe).contains(id(6)));
+    }
+
+    private Set<EndpointId> everFirst(RouteRequest request) {
+        Set<EndpointId> seen = new java.util.TreeSet<>();
+        for (int i = 0; i < 100; i++) {
+            seen.add(first(router, request));
+        }
+        return seen;
+    }
+
+    @Test
+    void prefersItsDomainAndSpillsWhenThatIsLoaded() {
+        Set<EndpointId> near = Set.of(id(0), id(3), id(6));
+        long local = 0;
+        for (int i = 0; i < 300; i++) {
+            local += near.contains(first(router, prompt(300, i))) ? 1 : 0;
+        }
+        assertTrue(local > 280, "only " + local + " of 300 stayed near");
+        near.forEach(e -> router.reportLoad(e, new ReportedLoad(ticker.nanos(), 20, 99, 20_000, 20_000)));
+        assertTrue(everFirst(prompt(300, 1)).stream().noneMatch(near::contains));
+    }
+
+    @Test
+    void putsEndpointsWithoutRoomLast() {
+        for (int i = 0; i < 8; i++) {
+            router.reportLoad(id(i), new ReportedLoad(ticker.nanos(), 2, 2, 0, 0));
+        }
+        router.reportLoad(id(8), new ReportedLoad(ticker.nanos(), 50, 99, 90_000, 90_000));
+        assertEquals(Set.of(id(8)), everFirst(prompt(300, 1)));
+    }
+
+    @Test
+    void sendsASuspectFromEveryInstanceToTheSameEndpoint() {
+        Router other = Router.of(RoutingSettings.in(FailureDomain.of("d2")), ticker, 99);
+        for (int i = 8; i >= 0; i--) {
+            FailureDomain domain = FailureDomain.of("d" + i % 3);
+            other.putEndpoint(new EndpointSpec(id(i), domain, Set.of(MODEL), i < 3 ? 2_000_000 : 450_000));
+        }
+        for (int i = 0; i < 50; i++) {
+            RouteRequest request = prompt(1000, i).pinnedTo(Fingerprint.of("f" + i));
+            EndpointId first = first(router, request);
+            assertEquals(first, first(other, request));
+            assertNotEquals(first, first(router, request.excluding(Set.of(first))));
+        }
+    }
+
+    @Test
+    void remembersABoundedNumberOfBlocks() {
+        for (int i = 0; i < 3000; i++) {
+            router.sent(id(i % 9), prompt(20_000, i));
+        }
+        assertTrue(router.rememberedBlocks() <= 65_536);
+        assertEquals(
+                120,
+                java.util.Arrays.stream(prompt(1_048_576, 1).blocks())
+                        .filter(PromptBlocks::isLandmark)
+                        .count());
+        assertEquals(
+                List.of(3, 2),
+                List.of(PromptBlocks.ofText("x".repeat(3500)).length, PromptBlocks.ofText("x".repeat(2048)).length));
+    }
+}
