--- /dev/null
+++ b/src/main/java/org/jujuberouter/limits/LimitUse.java
@@ -0,0 +1,8 @@
+package org.jujuberouter.limits;
+
+/** What an admitted request uses. */
+@FunctionalInterface
+public interface LimitUse {
+    /** Ends the use and gives back the tokens that were charged but not used; a second call does nothing. */
+    void ended(long unusedTokens);
+}
