Add experiments on routing and lanes in virtual time

Cause: routing has to be measured against simpler policies, and lanes against the targets for the first token.

--- /dev/null
+++ b/src/main/java/org/jujuberouter/cli/ExperimentCommand.java
@@ -0,0 +1,46 @@
+package org.jujuberouter.cli;
+
+import java.util.concurrent.Callable;
+import org.jujuberouter.experiment.CostExperiment;
+import org.jujuberouter.experiment.LanesExperiment;
+import org.jujuberouter.experiment.RoutingExperiment;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs experiments in virtual time and prints their tables. */
+@Command(
+        name = "experiment",
+        mixinStandardHelpOptions = true,
+        description = "Runs an experiment on emulated engines in virtual time.")
+public final class ExperimentCommand implements Callable<Integer> {
+    @Override
+    public Integer call() {
+        CommandLine.usage(this, System.out);
+        return CommandLine.ExitCode.USAGE;
+    }
+
+    @Command(name = "routing", description = "Compares routing with simpler policies.")
+    int routing(
+            @Option(names = "--seed", defaultValue = "1", description = "Seed of arrivals and choices.") long seed,
+            @Option(names = "--requests", defaultValue = "20000", description = "Requests of each run.") int requests) {
+        RoutingExperiment.print(RoutingExperiment.of(requests).run(seed), System.out);
+        return 0;
+    }
+
+    @Command(name = "lanes", description = "Measures the wait of short requests beside long ones.")
+    int lanes(
+            @Option(names = "--seed", defaultValue = "1", description = "Seed of arrivals and choices.") long seed,
+            @Option(names = "--requests", defaultValue = "20000", description = "Requests of each run.") int requests) {
+        LanesExperiment.print(LanesExperiment.of(requests).run(seed), System.out);
+        return 0;
+    }
+
+    @Command(name = "cost", description = "Measures the time of a routing decision among 1,400 endpoints.")
+    int cost(
+            @Option(names = "--seed", defaultValue = "1", description = "Seed of arrivals and choices.") long seed,
+            @Option(names = "--requests", defaultValue = "200000", description = "Decisions.") int requests) {
+        CostExperiment.print(CostExperiment.of(requests).run(seed), System.out);
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/experiment/CostExperiment.java
@@ -0,0 +1,62 @@
+package org.jujuberouter.experiment;
+
+import java.io.PrintStream;
+import java.util.List;
+import org.jujuberouter.misc.ManualTicker;
+import org.jujuberouter.routing.RouteRequest;
+import org.jujuberouter.routing.Router;
+import org.jujuberouter.routing.RoutingSettings;
+
+/** Measures the time of one routing decision among 1,400 endpoints of one model, the largest case. */
+public final class CostExperiment {
+    private static final int ENDPOINTS = 1_400;
+
+    private final int requests;
+
+    private CostExperiment(int requests) {
+        this.requests = requests;
+    }
+
+    /** Returns an experiment with the given number of decisions. */
+    public static CostExperiment of(int requests) {
+        return new CostExperiment(requests);
+    }
+
+    /**
+     * The result.
+     *
+     * @param endpoints number of endpoints
+     * @param microsPerDecision time of a decision and of recording what was sent, after warm-up
+     * @param rememberedBlocks prefix blocks remembered at the end
+     */
+    public record Result(int endpoints, double microsPerDecision, int rememberedBlocks) {}
+
+    /** Runs the decisions; the time depends on the machine. */
+    public Result run(long seed) {
+        ManualTicker ticker = ManualTicker.atZero();
+        FleetSetup setup = new FleetSetup(ENDPOINTS, true, true, true, "");
+        Router router = Router.of(RoutingSettings.in(FleetSetup.domain(0)), ticker, seed);
+        setup.endpoints().forEach(router::putEndpoint);
+        List<Workload.Arrival> arrivals = Workload.of(Workload.Mix.DESIGN, seed, requests);
+        RouterPolicy policy = new RouterPolicy(router, true);
+        long started = 0;
+        for (int i = 0; i < arrivals.size(); i++) {
+            if (i == arrivals.size() / 2) {
+                started = System.nanoTime();
+            }
+            Workload.Arrival a = arrivals.get(i);
+            ticker.advanceTo(a.nanos());
+            RouteRequest request = RouteRequest.of(FleetSetup.MODEL, a.promptTokens(), a.maxAnswerTokens(), a.blocks());
+            policy.sent(policy.choose(request).getFirst(), request).ended();
+        }
+        double micros = (System.nanoTime() - started) / 1e3 / (arrivals.size() - arrivals.size() / 2);
+        return new Result(ENDPOINTS, micros, router.rememberedBlocks());
+    }
+
+    /** Prints the result. */
+    public static void print(Result result, PrintStream out) {
+        out.printf(
+                "%d endpoints: %.1f us a decision, %d blocks remembered%n",
+                result.endpoints(), result.microsPerDecision(), result.rememberedBlocks());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/experiment/FleetSetup.java
@@ -0,0 +1,61 @@
+package org.jujuberouter.experiment;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.ModelName;
+import org.jujuberouter.id.ServiceName;
+import org.jujuberouter.routing.EndpointSpec;
+import org.jujuberouter.routing.Placement;
+import org.jujuberouter.standin.model.EngineSettings;
+
+/**
+ * The emulated deployment.
+ *
+ * @param engines number of engines, spread over three failure domains
+ * @param lanes whether the engines' owners and the engines know lanes
+ * @param longSubset whether long prompts are confined to a third of the engines
+ * @param cacheEvents whether instances hear cache events
+ * @param choice how the instances choose; empty for the router
+ */
+record FleetSetup(int engines, boolean lanes, boolean longSubset, boolean cacheEvents, String choice) {
+    static final int DOMAINS = 3;
+    static final int INSTANCES = 8;
+    static final Placement MODEL = Placement.of(ServiceName.of("assistant"), ModelName.of("base"), "", "1");
+
+    /** Every fifth engine is four times as large, so that there is room for a million tokens. */
+    private static final int LARGE_EVERY = 5;
+
+    private static final long LARGE_KV_TOKENS = 2_200_000;
+    private static final long LARGE_CACHE_TOKENS = 1_600_000;
+
+    static boolean isLarge(int engine) {
+        return engine / DOMAINS % LARGE_EVERY == 0;
+    }
+
+    static EngineSettings settings(int engine, long seed) {
+        var settings = EngineSettings.builder().seed(seed * 1000 + engine);
+        if (isLarge(engine)) {
+            settings.kvTokens(LARGE_KV_TOKENS).cache(LARGE_CACHE_TOKENS, 256).prefill(40_000, 1536);
+        }
+        return settings.build();
+    }
+
+    static FailureDomain domain(int index) {
+        return FailureDomain.of("domain-" + index % DOMAINS);
+    }
+
+    List<EndpointSpec> endpoints() {
+        List<EndpointSpec> endpoints = new ArrayList<>();
+        for (int i = 0; i < engines; i++) {
+            endpoints.add(new EndpointSpec(
+                    EndpointId.of("engine-" + i),
+                    domain(i),
+                    Set.of(MODEL),
+                    settings(i, 0).kvTokens()));
+        }
+        return endpoints;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/experiment/RouterPolicy.java
@@ -0,0 +1,48 @@
+package org.jujuberouter.experiment;
+
+import java.util.List;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.routing.ReportedLoad;
+import org.jujuberouter.routing.RouteRequest;
+import org.jujuberouter.routing.RouteResult;
+import org.jujuberouter.routing.Router;
+import org.jujuberouter.routing.SentWork;
+import org.jujuberouter.standin.model.CacheEvent;
+
+/** The policy under test. */
+final class RouterPolicy implements RoutingPolicy {
+    private final Router router;
+    private final boolean hearsCacheEvents;
+
+    RouterPolicy(Router router, boolean hearsCacheEvents) {
+        this.router = router;
+        this.hearsCacheEvents = hearsCacheEvents;
+    }
+
+    @Override
+    public List<EndpointId> choose(RouteRequest request) {
+        return router.route(request) instanceof RouteResult.Candidates c ? c.endpoints() : List.of();
+    }
+
+    @Override
+    public SentWork sent(EndpointId endpoint, RouteRequest request) {
+        return router.sent(endpoint, request);
+    }
+
+    @Override
+    public void reportLoad(EndpointId endpoint, ReportedLoad load) {
+        router.reportLoad(endpoint, load);
+    }
+
+    @Override
+    public void cacheEvent(EndpointId endpoint, CacheEvent event) {
+        if (!hearsCacheEvents) {
+            return;
+        }
+        switch (event.kind()) {
+            case STORED -> router.cacheStored(endpoint, event.sequence(), event.blocks());
+            case EVICTED -> router.cacheEvicted(endpoint, event.sequence(), event.blocks());
+            case CLEARED -> router.cacheCleared(endpoint, event.sequence());
+        }
+    }
+}
--- a/src/main/java/org/jujuberouter/routing/RouteDecision.java
+++ b/src/main/java/org/jujuberouter/routing/RouteDecision.java
@@ -21,17 +21,19 @@
     private final RouteRequest request;
     private final RouteGroup.Pool pool;
     private final long now;
+    private final long leastKvTokens;
     private final int fit;
     private final List<Option> options = new ArrayList<>();
 
     private record Option(EndpointState endpoint, double cost) {}
 
-    RouteDecision(RoutingSettings settings, RouteRequest request, RouteGroup.Pool pool, long now) {
+    RouteDecision(RoutingSettings settings, RouteRequest request, RouteGroup.Pool pool, double memoryShare, long now) {
         this.settings = settings;
         this.request = request;
         this.pool = pool;
         this.now = now;
-        this.fit = RouteGroup.Pool.fitting(pool.all, request.neededTokens());
+        this.leastKvTokens = (long) Math.ceil(request.neededTokens() / memoryShare);
+        this.fit = RouteGroup.Pool.fitting(pool.all, leastKvTokens);
     }
 
     List<EndpointId> byCost(PrefixBeliefs beliefs, SplittableRandom random) {
@@ -79,7 +81,7 @@
 
     /** Considers two different endpoints; one drawn twice would leave no choice. */
     private void considerRandom(EndpointState[] endpoints, SplittableRandom random) {
-        int count = RouteGroup.Pool.fitting(endpoints, request.neededTokens());
+        int count = RouteGroup.Pool.fitting(endpoints, leastKvTokens);
         if (count == 0) {
             return;
         }
@@ -91,7 +93,7 @@
     }
 
     private void consider(EndpointState endpoint, long cachedTokens) {
-        if (isExcluded(endpoint) || endpoint.spec.kvTokens() < request.neededTokens()) {
+        if (isExcluded(endpoint) || endpoint.spec.kvTokens() < leastKvTokens) {
             return;
         }
         for (Option o : options) {
--- a/src/main/java/org/jujuberouter/routing/RouteRequest.java
+++ b/src/main/java/org/jujuberouter/routing/RouteRequest.java
@@ -40,4 +40,8 @@
     long neededTokens() {
         return promptTokens + maxAnswerTokens;
     }
+
+    boolean isLong() {
+        return Lane.ofPrompt(promptTokens) == Lane.LONG;
+    }
 }
--- a/src/main/java/org/jujuberouter/routing/Router.java
+++ b/src/main/java/org/jujuberouter/routing/Router.java
@@ -159,12 +159,14 @@
                     ? new RouteResult.NoneAvailable("no endpoint has it loaded")
                     : new RouteResult.UnknownModel(request.placement());
         }
-        if (request.neededTokens() > group.largestKvTokens) {
-            return new RouteResult.TooLarge(request.neededTokens(), group.largestKvTokens);
-        }
-        boolean isLong = Lane.ofPrompt(request.promptTokens()) == Lane.LONG;
-        RouteGroup.Pool pool = isLong ? group.longSubset : group.serving;
-        RouteDecision decision = new RouteDecision(settings, request, pool, ticker.nanos());
+        boolean confined = request.isLong() && settings.longSubset();
+        double memoryShare = confined ? RoutingSettings.LONG_MEMORY_SHARE : 1;
+        long largest = (long) (group.largestKvTokens * memoryShare);
+        if (request.neededTokens() > largest) {
+            return new RouteResult.TooLarge(request.neededTokens(), largest);
+        }
+        RouteGroup.Pool pool = confined ? group.longSubset : group.serving;
+        RouteDecision decision = new RouteDecision(settings, request, pool, memoryShare, ticker.nanos());
         List<EndpointId> found =
                 request.pinned().map(decision::byFingerprint).orElseGet(() -> decision.byCost(beliefs, random));
         if (!found.isEmpty()) {
--- a/src/main/java/org/jujuberouter/routing/RoutingSettings.java
+++ b/src/main/java/org/jujuberouter/routing/RoutingSettings.java
@@ -19,7 +19,7 @@
  * @param beliefLifeAfterGap remaining life of a belief when cache events were lost after it
  * @param maxBeliefs number of blocks remembered; each takes about 120 bytes
  * @param maxCandidates endpoints returned for a request
- * @param longSubset whether long prompts are confined to a third of the endpoints
+ * @param longSubset whether long prompts are confined to a third of the endpoints and to {@link #LONG_MEMORY_SHARE}
  */
 public record RoutingSettings(
         FailureDomain ownDomain,
@@ -35,6 +35,8 @@
         int maxBeliefs,
         int maxCandidates,
         boolean longSubset) {
+    /** Part of an endpoint's memory that the long lane may use; the same bound holds at admission. */
+    public static final double LONG_MEMORY_SHARE = 0.6;
 
     /** Returns the default settings of an instance in the given domain. */
     public static RoutingSettings in(FailureDomain ownDomain) {
--- a/src/test/java/org/jujuberouter/routing/RouterTest.java
+++ b/src/test/java/org/jujuberouter/routing/RouterTest.java
@@ -77,7 +77,7 @@
         assertEquals(Set.of(id(0), id(1), id(2)), everChosen(prompt(1_000_000, 1)));
         assertEquals(Set.of(id(0), id(1), id(2)), everChosen(prompt(100_000, 1)));
         assertEquals(9, everChosen(prompt(60_000, 1)).size());
-        assertEquals(new RouteResult.TooLarge(2_500_500, 2_000_000), router.route(prompt(2_500_000, 1)));
+        assertEquals(new RouteResult.TooLarge(1_300_500, 1_200_000), router.route(prompt(1_300_000, 1)));
         for (int i = 0; i < 3; i++) {
             router.setCondition(id(i), EndpointCondition.DRAINED);
         }
