--- /dev/null
+++ b/src/main/java/org/jujuberouter/outcome/OnceDocument.java
@@ -0,0 +1,51 @@
+package org.jujuberouter.outcome;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+
+/**
+ * The JSON form of an at-most-once record. Fields added by later versions are ignored, so that versions can run side by side.
+ */
+@JsonIgnoreProperties(ignoreUnknown = true)
+@JsonInclude(JsonInclude.Include.NON_NULL)
+record OnceDocument(String attempt, String bodyHash, State state, Integer status, String contentType, byte[] body) {
+    enum State {
+        @JsonProperty("started")
+        STARTED,
+        @JsonProperty("finished")
+        FINISHED,
+        @JsonProperty("not-run")
+        NOT_RUN
+    }
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    static OnceDocument of(String attempt, String bodyHash, State state) {
+        return new OnceDocument(attempt, bodyHash, state, null, null, null);
+    }
+
+    static OnceDocument finished(String attempt, String bodyHash, StoredResult result) {
+        byte[] body = result.body().length <= StoredResult.MAX_BODY_BYTES ? result.body() : null;
+        return new OnceDocument(attempt, bodyHash, State.FINISHED, result.status(), result.contentType(), body);
+    }
+
+    static OnceDocument parse(byte[] json) throws IOException {
+        OnceDocument read = MAPPER.readValue(json, OnceDocument.class);
+        if (read.attempt == null || read.bodyHash == null || read.state == null) {
+            throw new IOException("the record lacks attempt, bodyHash or state");
+        }
+        return read;
+    }
+
+    byte[] toJson() {
+        try {
+            return MAPPER.writeValueAsBytes(this);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a record of strings and numbers always has a JSON form", e);
+        }
+    }
+}
