Check chunks and detect silent connections

Change: AnswerStream delivers only the characters that follow what was delivered, orders a resume at a gap, and accepts the end at the exact length. Silence of 1 s leads to a probe over a new connection, which tells a slow prefill from a dead path; while the caller is slow none is made. After an attempt was given up its chunks are dropped, because one more would make the text longer than the continuation's prompt.

Ruled out: probing a prefill up to every 4 s. A chunk that overlaps what was delivered is cut and not dropped as a whole, which would cost a resume for nothing.

--- /dev/null
+++ b/src/main/java/org/jujuberouter/stream/package-info.java
@@ -0,0 +1,2 @@
+/** Whole answers over unreliable connections: offsets, resume and detection of silent connections. */
+package org.jujuberouter.stream;
--- /dev/null
+++ b/src/test/java/org/jujuberouter/stream/AnswerStreamTest.java
@@ -0,0 +1,271 @@
+package org.jujuberouter.stream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+import org.jujuberouter.id.RequestId;
+import org.jujuberouter.misc.ManualTicker;
+import org.junit.jupiter.api.Test;
+
+/** Guards against answers that are cut, mixed or repeated, and against giving up an engine that only reads the prompt. */
+class AnswerStreamTest {
+    private static final int SEEDS = Integer.getInteger("jujuberouter.seeds", 200);
+    private static final RequestId ID = RequestId.of("a1");
+    private final ManualTicker ticker = ManualTicker.atZero();
+    private final AnswerStream stream = AnswerStream.open(ID, ticker);
+
+    @Test
+    void deliversEveryAnswerExactlyThroughFaults() {
+        int corrupt = 0;
+        int resumes = 0;
+        int continuations = 0;
+        long slowest = 0;
+        for (int seed = 0; seed < SEEDS; seed++) {
+            Path path = new Path(seed);
+            path.run();
+            assertEquals(path.answer, path.delivered.toString(), "seed " + seed);
+            corrupt += path.unchecked.toString().equals(path.answer) ? 0 : 1;
+            resumes += path.resumes;
+            continuations += path.continuations;
+            slowest = Math.max(slowest, path.longestSilenceMillis);
+        }
+        System.out.printf(
+                "streams: %d seeds, all answers exact, %d resumes, %d continuations, longest detection %d ms;"
+                        + " %d answers corrupt without checks%n",
+                SEEDS, resumes, continuations, slowest, corrupt);
+        assertTrue(resumes > 0 && continuations > 0 && corrupt > SEEDS / 2, "the schedule does not reach all cases");
+        assertTrue(
+                slowest <= 4000, "a silent connection under a generating engine is noticed within 4 s, not " + slowest);
+    }
+
+    @Test
+    void waitsForASlowPrefillAndAsksLessOften() {
+        int probes = 0;
+        for (int second = 0; second < 60; second++) {
+            ticker.advance(Duration.ofSeconds(1));
+            if (stream.tick() instanceof StreamDecision.Probe probe) {
+                probes++;
+                assertInstanceOf(
+                        StreamDecision.WaitPrefill.class, stream.probeReply(probe.number(), new ProbeReply.Prefill()));
+            }
+        }
+        assertEquals(31, probes, "after 1 and 2 s and then every 2 s up to 60 s");
+    }
+
+    @Test
+    void asksNothingWhileTheCallerIsSlow() {
+        stream.chunk(ID, 0, 5);
+        stream.pause();
+        ticker.advance(Duration.ofMinutes(5));
+        assertInstanceOf(StreamDecision.Idle.class, stream.tick());
+        stream.unpause();
+        assertInstanceOf(StreamDecision.Idle.class, stream.tick());
+        ticker.advance(Duration.ofSeconds(1));
+        assertInstanceOf(StreamDecision.Probe.class, stream.tick());
+    }
+
+    @Test
+    void givesUpAfterTwoUnansweredProbesAndDropsWhatStillArrives() {
+        stream.chunk(ID, 0, 5);
+        ticker.advance(Duration.ofSeconds(1));
+        long first = assertInstanceOf(StreamDecision.Probe.class, stream.tick()).number();
+        assertInstanceOf(StreamDecision.Probe.class, stream.probeReply(first, new ProbeReply.NoAnswer()));
+        assertInstanceOf(StreamDecision.Idle.class, stream.probeReply(first, new ProbeReply.NoAnswer()));
+        ticker.advance(Duration.ofSeconds(1));
+        assertEquals(new StreamDecision.ContinueElsewhere(5), stream.tick());
+        assertEquals(new StreamDecision.Drop(DropReason.OTHER_REQUEST), stream.chunk(ID, 5, 4));
+        assertEquals(5, stream.textOffset());
+    }
+
+    @Test
+    void givesUpAnEngineThatAnswersProbesButDeliversNothing() {
+        int resumes = 0;
+        for (StreamDecision decision = stream.tick();
+                !(decision instanceof StreamDecision.ContinueElsewhere);
+                decision = stream.tick()) {
+            ticker.advance(Duration.ofMillis(100));
+            if (decision instanceof StreamDecision.Probe probe
+                    && stream.probeReply(probe.number(), new ProbeReply.Generating(9))
+                            instanceof StreamDecision.ContinueElsewhere) {
+                break;
+            } else if (decision instanceof StreamDecision.Probe) {
+                resumes++;
+            }
+        }
+        assertEquals(SilenceDetector.MAX_FRUITLESS_RESUMES, resumes);
+    }
+
+    /** A chunk or an end marker on its way. */
+    private record Flight(long at, RequestId id, long offset, String text, boolean end, int connection) {}
+
+    /** One answer through an unreliable path, in steps of 10 ms; faults end after 30 s. */
+    private static final class Path {
+        private final ManualTicker ticker = ManualTicker.atZero();
+        private final Random random;
+        private final String answer;
+        private final StringBuilder delivered = new StringBuilder();
+        private final StringBuilder unchecked = new StringBuilder();
+        private final List<Flight> flights = new ArrayList<>();
+        private AnswerStream stream;
+        private RequestId attempt = RequestId.of("a0");
+        private String generated;
+        private long generatesAt;
+        private long sent;
+        private int connection;
+        private boolean silent;
+        private boolean dead;
+        private long pausedUntil;
+        private boolean done;
+        private int resumes;
+        private int continuations;
+        private long lastProgress;
+        private long longestSilenceMillis;
+
+        Path(int seed) {
+            random = new Random(seed);
+            StringBuilder text = new StringBuilder();
+            for (int i = 0; i < 200 + random.nextInt(800); i++) {
+                text.append((char) ('a' + random.nextInt(26)));
+            }
+            answer = text.toString();
+            stream = AnswerStream.open(attempt, ticker);
+            start();
+        }
+
+        private void start() {
+            generated = answer.substring(delivered.length());
+            generatesAt = ticker.millis() + random.nextInt(6000);
+            dead = false;
+            connect(0);
+        }
+
+        private void connect(long offset) {
+            connection++;
+            sent = offset;
+            silent = false;
+        }
+
+        void run() {
+            while (!done) {
+                assertTrue(ticker.millis() < 120_000, "the answer was not complete after two minutes");
+                ticker.advance(Duration.ofMillis(10));
+                if (!dead && !silent) {
+                    send();
+                }
+                if (faulty() && random.nextInt(400) == 0) {
+                    pausedUntil = ticker.millis() + random.nextInt(6000);
+                    stream.pause();
+                }
+                boolean paused = ticker.millis() < pausedUntil;
+                StreamDecision tick = stream.tick();
+                assertFalse(paused && !(tick instanceof StreamDecision.Idle), "probed while the caller was slow");
+                if (!paused) {
+                    stream.unpause();
+                    receive();
+                }
+                act(tick);
+            }
+        }
+
+        private void send() {
+            long now = ticker.millis();
+            long available = Math.max(0, Math.min(generated.length(), (now - generatesAt) / 10));
+            if (available - sent >= 4 || available == generated.length() && now > generatesAt) {
+                int length = (int) Math.min(available - sent, 1 + random.nextInt(8));
+                fly(attempt, sent, length, sent == generated.length());
+                sent += length;
+            }
+            if (!faulty()) {
+                return;
+            }
+            switch (random.nextInt(300)) {
+                case 0 -> silent = true;
+                case 1 -> {
+                    silent = true;
+                    act(stream.broken());
+                }
+                case 2, 3, 4 -> sent = Math.min(generated.length(), sent + 3);
+                case 5, 6, 7 -> sent = Math.max(0, sent - 5);
+                case 8 -> dead = random.nextInt(4) == 0;
+                case 9, 10 -> fly(RequestId.of("other"), sent, Math.min(3, generated.length()), false);
+                default -> {}
+            }
+        }
+
+        private void fly(RequestId id, long offset, int length, boolean end) {
+            String text = generated
+                    .substring((int) Math.min(offset, generated.length() - length))
+                    .substring(0, length);
+            long at = ticker.millis() + 1 + (faulty() && random.nextInt(20) == 0 ? random.nextInt(300) : 0);
+            flights.add(new Flight(at, id, offset, text, end, connection));
+        }
+
+        private void receive() {
+            flights.sort(Comparator.comparingLong(Flight::at));
+            while (!done && !flights.isEmpty() && flights.getFirst().at <= ticker.millis()) {
+                Flight flight = flights.removeFirst();
+                unchecked.append(flight.text);
+                StreamDecision decision = flight.end
+                        ? stream.end(flight.id, flight.offset)
+                        : stream.chunk(flight.id, flight.offset, flight.text.length());
+                if (decision instanceof StreamDecision.Deliver deliver) {
+                    delivered.append(flight.text.substring(deliver.skip()));
+                }
+                if (!(decision instanceof StreamDecision.Drop)) {
+                    lastProgress = ticker.millis();
+                }
+                act(decision);
+            }
+        }
+
+        private void act(StreamDecision decision) {
+            switch (decision) {
+                case StreamDecision.Probe p -> {
+                    if (!dead && (!faulty() || random.nextInt(10) > 0)) {
+                        act(stream.probeReply(p.number(), state()));
+                    }
+                }
+                case StreamDecision.ResumeFrom r -> {
+                    resumes++;
+                    if (!dead) {
+                        long waited = Math.max(Math.max(lastProgress, pausedUntil), generatesAt);
+                        longestSilenceMillis = Math.max(longestSilenceMillis, ticker.millis() - waited);
+                    }
+                    lastProgress = ticker.millis();
+                    connect(r.offset());
+                }
+                case StreamDecision.ContinueElsewhere c -> {
+                    continuations++;
+                    assertEquals(delivered.length(), c.textOffset());
+                    attempt = RequestId.of("a" + continuations);
+                    stream.continueAs(attempt);
+                    lastProgress = ticker.millis();
+                    start();
+                }
+                case StreamDecision.Complete c -> done = true;
+                default -> {}
+            }
+        }
+
+        private ProbeReply state() {
+            long available = Math.min(generated.length(), (ticker.millis() - generatesAt) / 10);
+            if (ticker.millis() < generatesAt) {
+                return new ProbeReply.Prefill();
+            }
+            return available == generated.length()
+                    ? new ProbeReply.Ended(available)
+                    : new ProbeReply.Generating(available);
+        }
+
+        private boolean faulty() {
+            return ticker.millis() < 30_000;
+        }
+    }
+}
