Limit a crashing request to two endpoints

Change: CrashEvidence merges marks and clearances, in any order and repeatedly; two marks convict. RunArbiter adds what notices alone cannot give: one instance per fingerprint consents to each run, one at a time until a run has completed, and not before a lost endpoint is explained. The consent carries the marks, so that isolation does not depend on notices either.

Ruled out: notices alone. Explaining a lost run by any new mark, or by one at the same endpoint: a late notice about an earlier crash was then taken for the answer.

--- /dev/null
+++ b/src/test/java/org/jujuberouter/quarantine/QuarantineTest.java
@@ -0,0 +1,306 @@
+package org.jujuberouter.quarantine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.Fingerprint;
+import org.jujuberouter.id.RequestId;
+import org.jujuberouter.misc.ManualTicker;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a request that takes more than two endpoints and against convicted innocents. */
+class QuarantineTest {
+    private static final int SEEDS = Integer.getInteger("jujuberouter.seeds", 200);
+    private static final int NEVER = Integer.MAX_VALUE;
+    private static final int NO_BOUND = Integer.MAX_VALUE;
+    private static final Fingerprint CULPRIT = Fingerprint.of("culprit");
+
+    @Test
+    void losesTwoEndpointsWhenNoticesArriveBeforeTheResend() {
+        print("notices first, evidence alone", lost(new Setting(false, 1, 50, 100, NEVER)), 2);
+    }
+
+    @Test
+    void losesMoreWithoutTheArbiterWhenResendsOvertakeNotices() {
+        int most = print("resends overtake, evidence alone", lost(new Setting(false, 4, 8000, 10, NEVER)), NO_BOUND);
+        assertTrue(most > 2, "the schedule no longer lets resends overtake notices");
+    }
+
+    @Test
+    void losesTwoEndpointsThroughTheArbiterWhenResendsOvertakeNoticesOrRunAtOnce() {
+        print("resends overtake, arbiter", lost(new Setting(true, 4, 8000, 10, NEVER)), 2);
+        print("notices up to 20 s late, arbiter", lost(new Setting(true, 4, 20_000, 10, NEVER)), NO_BOUND);
+    }
+
+    @Test
+    void losesAtMostTwoEndpointsPerArbiterWhenItIsReplaced() {
+        print("quick notices, arbiter replaced", lost(new Setting(true, 4, 50, 10, 1300)), 3);
+        print("resends overtake, arbiter replaced", lost(new Setting(true, 4, 8000, 10, 1300)), 4);
+    }
+
+    @Test
+    void agreesWhateverTheOrderOfNotices() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            ManualTicker ticker = ManualTicker.atZero();
+            List<Object> notices = new ArrayList<>();
+            Random random = new Random(seed);
+            for (int i = 0; i < 6; i++) {
+                Set<Fingerprint> some = new HashSet<>();
+                for (int f = 0; f < 3; f++) {
+                    some.add(Fingerprint.of("f" + random.nextInt(4)));
+                }
+                notices.add(new CrashNotice("c" + i, EndpointId.of("e" + i), some, Duration.ZERO));
+                some.forEach(f -> {
+                    if (random.nextBoolean()) {
+                        notices.add(new ClearNotice(f, Set.of("c" + random.nextInt(6)), Duration.ZERO));
+                    }
+                });
+            }
+            CrashEvidence first = merged(ticker, notices);
+            notices.addAll(List.copyOf(notices));
+            Collections.shuffle(notices, random);
+            CrashEvidence second = merged(ticker, notices);
+            for (int f = 0; f < 4; f++) {
+                Fingerprint fingerprint = Fingerprint.of("f" + f);
+                assertEquals(first.standing(fingerprint), second.standing(fingerprint), "seed " + seed);
+            }
+            ticker.advance(CrashEvidence.EXPIRY);
+            second.expire();
+            assertEquals(0, second.size(), "evidence must expire");
+        }
+    }
+
+    @Test
+    void letsProvenRequestsRunAtOnceUntilACrashMarksThem() {
+        ManualTicker ticker = ManualTicker.atZero();
+        CrashEvidence evidence = CrashEvidence.empty(ticker);
+        RunArbiter arbiter = RunArbiter.of(evidence, ticker);
+        Duration minute = Duration.ofMinutes(1);
+        assertEquals(new RunDecision.Run(List.of()), arbiter.request(CULPRIT, RequestId.of("1"), minute));
+        assertTrue(arbiter.request(CULPRIT, RequestId.of("2"), minute) instanceof RunDecision.Wait);
+        arbiter.completed(CULPRIT, RequestId.of("1"));
+        assertTrue(arbiter.request(CULPRIT, RequestId.of("2"), minute) instanceof RunDecision.Run);
+        assertTrue(arbiter.request(CULPRIT, RequestId.of("3"), minute) instanceof RunDecision.Run);
+        evidence.merge(new CrashNotice("c1", EndpointId.of("e"), Set.of(CULPRIT), Duration.ZERO));
+        assertTrue(arbiter.request(CULPRIT, RequestId.of("4"), minute) instanceof RunDecision.Wait);
+        ticker.advance(minute);
+        arbiter.expire();
+        assertEquals(0, arbiter.size());
+    }
+
+    private static CrashEvidence merged(ManualTicker ticker, List<Object> notices) {
+        CrashEvidence evidence = CrashEvidence.empty(ticker);
+        for (Object notice : notices) {
+            if (notice instanceof CrashNotice crash) {
+                evidence.merge(crash);
+            } else {
+                evidence.merge((ClearNotice) notice);
+            }
+        }
+        return evidence;
+    }
+
+    private static List<Fleet> lost(Setting setting) {
+        List<Fleet> fleets = new ArrayList<>();
+        for (int seed = 0; seed < SEEDS; seed++) {
+            Fleet fleet = new Fleet(seed, setting);
+            fleet.run();
+            fleets.add(fleet);
+        }
+        return fleets;
+    }
+
+    private static int print(String name, List<Fleet> fleets, int bound) {
+        int most = fleets.stream().mapToInt(f -> f.crashes).max().orElseThrow();
+        double mean = fleets.stream().mapToInt(f -> f.crashes).average().orElseThrow();
+        long innocents = fleets.stream().mapToLong(Fleet::convictedInnocents).sum();
+        int unfinished = fleets.stream().mapToInt(f -> f.unfinished.size()).sum();
+        System.out.printf(
+                "quarantine, %s: %d seeds, endpoints lost: most %d, mean %.2f; innocents convicted: %d, unfinished: %d%n",
+                name, fleets.size(), most, mean, innocents, unfinished);
+        assertTrue(most <= bound, most + " endpoints lost");
+        if (bound == 2) {
+            fleets.forEach(Fleet::assertConvictionStored);
+            assertEquals(0, innocents, "innocents convicted");
+            assertEquals(0, unfinished, "innocents that never finished");
+        }
+        return most;
+    }
+
+    /** Another instance, which knows only what notices told it, becomes the arbiter at {@code newArbiterMillis}. */
+    private record Setting(boolean arbiter, int callers, int maxNoticeMillis, int resendMillis, int newArbiterMillis) {}
+
+    private record Event(long at, int order, Runnable action) {}
+
+    /** Five instances with eight endpoints, one culprit sent by several callers, and innocents beside it. */
+    private static final class Fleet {
+        private static final int INSTANCES = 5;
+        private static final int ENDPOINTS = 8;
+        private static final int INNOCENTS = 30;
+        private final ManualTicker ticker = ManualTicker.atZero();
+        private final PriorityQueue<Event> events = new PriorityQueue<>(
+                (a, b) -> a.at == b.at ? Integer.compare(a.order, b.order) : Long.compare(a.at, b.at));
+        private final List<CrashEvidence> evidence = new ArrayList<>();
+        private final List<RunArbiter> arbiters = new ArrayList<>();
+        private final List<List<Run>> inFlight = new ArrayList<>();
+        private final Set<Fingerprint> unfinished = new HashSet<>();
+        private final Random random;
+        private final Setting setting;
+        private final List<Conviction> written = new ArrayList<>();
+        private final int[] lives = new int[ENDPOINTS];
+        private int ids;
+        private int crashes;
+
+        Fleet(int seed, Setting setting) {
+            this.random = new Random(seed);
+            this.setting = setting;
+            for (int i = 0; i < INSTANCES; i++) {
+                evidence.add(CrashEvidence.empty(ticker));
+                arbiters.add(RunArbiter.of(evidence.get(i), ticker));
+            }
+            for (int e = 0; e < ENDPOINTS; e++) {
+                inFlight.add(new ArrayList<>());
+            }
+            for (int c = 0; c < setting.callers; c++) {
+                at(1000 + random.nextInt(100), () -> send(CULPRIT, 0));
+            }
+            for (int n = 0; n < INNOCENTS; n++) {
+                Fingerprint innocent = Fingerprint.of("innocent" + n);
+                unfinished.add(innocent);
+                at(random.nextInt(2000), () -> send(innocent, 0));
+            }
+        }
+
+        void run() {
+            while (!events.isEmpty()) {
+                Event event = events.remove();
+                ticker.advanceTo(event.at * 1_000_000);
+                event.action.run();
+            }
+        }
+
+        long convictedInnocents() {
+            return IntStream.range(0, INNOCENTS)
+                    .mapToObj(n -> Fingerprint.of("innocent" + n))
+                    .filter(f -> evidence.stream().anyMatch(e -> e.standing(f) == Standing.CONVICTED))
+                    .count();
+        }
+
+        /** Checks that what was to be written to the store lets an instance that starts later refuse the culprit. */
+        void assertConvictionStored() {
+            List<Conviction> stored = written.stream()
+                    .filter(c -> c.fingerprint().equals(CULPRIT))
+                    .toList();
+            assertTrue(stored.size() == 1 || stored.size() == 2, stored.size() + " instances write the conviction");
+            CrashEvidence late = CrashEvidence.empty(ticker);
+            late.merge(stored.getFirst());
+            assertEquals(Standing.CONVICTED, late.standing(CULPRIT));
+        }
+
+        private void at(long delay, Runnable action) {
+            events.add(new Event(ticker.millis() + delay, ids++, action));
+        }
+
+        private void send(Fingerprint fingerprint, int tries) {
+            if (tries > 2000) {
+                return;
+            }
+            RequestId id = RequestId.of("r" + ids++);
+            RunArbiter decides = arbiterOf(fingerprint);
+            List<CrashNotice> marks = List.of();
+            if (setting.arbiter) {
+                switch (decides.request(fingerprint, id, Duration.ofMinutes(1))) {
+                    case RunDecision.Refuse r -> {
+                        return;
+                    }
+                    case RunDecision.Wait w -> {
+                        at(20, () -> send(fingerprint, tries + 1));
+                        return;
+                    }
+                    case RunDecision.Run run -> marks = run.marks();
+                }
+            }
+            int endpoint = random.nextInt(ENDPOINTS);
+            CrashEvidence owner = evidence.get(endpoint % INSTANCES);
+            marks.forEach(owner::merge);
+            List<Fingerprint> there =
+                    inFlight.get(endpoint).stream().map(Run::fingerprint).toList();
+            if (!owner.mayRunBeside(fingerprint, there)) {
+                decides.released(fingerprint, id);
+                if (owner.standing(fingerprint) != Standing.CONVICTED || !fingerprint.equals(CULPRIT)) {
+                    at(20, () -> send(fingerprint, tries + 1));
+                }
+                return;
+            }
+            Run run = new Run(fingerprint, id);
+            inFlight.get(endpoint).add(run);
+            boolean crashing = fingerprint.equals(CULPRIT);
+            at(100 + random.nextInt(400), () -> {
+                if (inFlight.get(endpoint).contains(run)) {
+                    if (crashing) {
+                        crash(endpoint);
+                    } else {
+                        complete(endpoint, run);
+                    }
+                }
+            });
+        }
+
+        private RunArbiter arbiterOf(Fingerprint fingerprint) {
+            int shift = ticker.millis() < setting.newArbiterMillis ? 0 : 1;
+            return arbiters.get(Math.floorMod(fingerprint.hashCode() + shift, INSTANCES));
+        }
+
+        private void complete(int endpoint, Run run) {
+            inFlight.get(endpoint).remove(run);
+            unfinished.remove(run.fingerprint);
+            arbiterOf(run.fingerprint).completed(run.fingerprint, run.id);
+            evidence.get(endpoint % INSTANCES)
+                    .completed(run.fingerprint)
+                    .ifPresent(clear -> evidence.forEach(
+                            peer -> at(random.nextInt(setting.maxNoticeMillis), () -> peer.merge(clear))));
+        }
+
+        private String crashId(int endpoint) {
+            return "e" + endpoint + "#" + lives[endpoint];
+        }
+
+        private void crash(int endpoint) {
+            crashes++;
+            List<Run> there = List.copyOf(inFlight.get(endpoint));
+            inFlight.get(endpoint).clear();
+            Set<Fingerprint> marked =
+                    new HashSet<>(there.stream().map(Run::fingerprint).toList());
+            String crashId = crashId(endpoint);
+            lives[endpoint]++;
+            EndpointId name = EndpointId.of("e" + endpoint);
+            CrashNotice seen = new CrashNotice(crashId, name, marked, Duration.ZERO);
+            written.addAll(evidence.get(endpoint % INSTANCES).crashed(seen));
+            long crashedAt = ticker.millis();
+            for (CrashEvidence peer : evidence) {
+                for (int repeat = 0; repeat < 2; repeat++) {
+                    at(random.nextInt(setting.maxNoticeMillis), () -> {
+                        Duration age = Duration.ofMillis(ticker.millis() - crashedAt);
+                        written.addAll(peer.merge(new CrashNotice(crashId, name, marked, age)));
+                    });
+                }
+            }
+            for (Run run : there) {
+                arbiterOf(run.fingerprint).lost(run.fingerprint, run.id, crashId);
+                at(1 + random.nextInt(setting.resendMillis) + setting.resendMillis, () -> send(run.fingerprint, 0));
+            }
+        }
+
+        private record Run(Fingerprint fingerprint, RequestId id) {}
+    }
+}
