--- /dev/null
+++ b/src/main/java/org/jujuberouter/settings/Settings.java
@@ -0,0 +1,159 @@
+package org.jujuberouter.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jujuberouter.id.CustomerId;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.ModelName;
+import org.jujuberouter.id.ServiceName;
+
+/**
+ * One version of the settings with inheritance applied; immutable.
+ *
+ * <p>A stored value that this version's schema does not allow is passed over as if unset, so that an instance of an older
+ * version keeps serving while operators already use a newer one.
+ */
+public final class Settings {
+    private final SettingsDocument document;
+    private final SettingsSchema schema;
+    private final List<ServiceName> services = new ArrayList<>();
+    private final List<CustomerId> customers = new ArrayList<>();
+    private final List<FailureDomain> domains = new ArrayList<>();
+    private final Map<ServiceName, List<ModelName>> models = new HashMap<>();
+    private final Map<String, CustomerId> customersByKeyHash = new HashMap<>();
+    private final Map<ServiceName, CallRules> rules = new HashMap<>();
+
+    private Settings(SettingsDocument document, SettingsSchema schema) {
+        this.document = document;
+        this.schema = schema;
+        document.values().forEach(this::index);
+    }
+
+    /** Returns the view of a document. */
+    public static Settings of(SettingsDocument document) {
+        return new Settings(document, SettingsSchema.standard());
+    }
+
+    /** Returns the version of the document. */
+    public long version() {
+        return document.version();
+    }
+
+    /** Returns the value of a setting at a target, or empty when it is set nowhere and has no default. */
+    public Optional<EffectiveValue> effective(SettingTarget target, String name) {
+        Setting setting = schema.named(name)
+                .orElseThrow(() -> new IllegalArgumentException("setting \"" + name + "\" does not exist"));
+        Optional<SettingTarget> at = Optional.of(target);
+        while (at.isPresent()) {
+            String path = at.get().path(name);
+            JsonNode value = document.values().get(path);
+            if (value != null && setting.allows(value)) {
+                return Optional.of(new EffectiveValue(value, path));
+            }
+            at = at.get().parent();
+        }
+        return Optional.ofNullable(setting.fallback()).map(f -> new EffectiveValue(f, EffectiveValue.DEFAULT_SOURCE));
+    }
+
+    /** Returns the value of a numeric setting that has a default. */
+    public double number(SettingTarget target, String name) {
+        return required(target, name).doubleValue();
+    }
+
+    /** Returns the value of a whole-number setting that has a default. */
+    public long integer(SettingTarget target, String name) {
+        return required(target, name).longValue();
+    }
+
+    /** Returns the value of a setting that is a list of texts; empty when it is set nowhere. */
+    public List<String> texts(SettingTarget target, String name) {
+        List<String> all = new ArrayList<>();
+        effective(target, name).ifPresent(e -> e.value().forEach(v -> all.add(v.textValue())));
+        return all;
+    }
+
+    /** Returns the services in order of name. */
+    public List<ServiceName> services() {
+        return List.copyOf(services);
+    }
+
+    /** Tells whether the service runs models; false for a plain or an unknown service. */
+    public boolean isInference(ServiceName service) {
+        return effective(new SettingTarget.Service(service), SettingsSchema.KIND)
+                .filter(e -> e.value().asText().equals("inference"))
+                .isPresent();
+    }
+
+    /** Returns the models that a service offers. */
+    public List<ModelName> models(ServiceName service) {
+        return List.copyOf(models.getOrDefault(service, List.of()));
+    }
+
+    /** Returns the rules that tell which calls of a plain service are idempotent. */
+    public CallRules callRules(ServiceName service) {
+        return rules.getOrDefault(service, CallRules.of(List.of()));
+    }
+
+    /** Returns the customers in order of id. */
+    public List<CustomerId> customers() {
+        return List.copyOf(customers);
+    }
+
+    /** Returns the customer whose API key has the given SHA-256 in lower-case hexadecimal digits. */
+    public Optional<CustomerId> customerByKeyHash(String keyHash) {
+        return Optional.ofNullable(customersByKeyHash.get(keyHash));
+    }
+
+    /** Returns the failure domains in order of name. */
+    public List<FailureDomain> domains() {
+        return List.copyOf(domains);
+    }
+
+    /** Tells whether operators took a failure domain out of service. */
+    public boolean isDrained(FailureDomain domain) {
+        return required(new SettingTarget.Domain(domain), SettingsSchema.DRAINED)
+                .booleanValue();
+    }
+
+    /** Tells whether operators took an endpoint out of service. */
+    public boolean isDrained(EndpointId endpoint) {
+        return required(new SettingTarget.Endpoint(endpoint), SettingsSchema.DRAINED)
+                .booleanValue();
+    }
+
+    private JsonNode required(SettingTarget target, String name) {
+        return effective(target, name)
+                .orElseThrow(() -> new IllegalArgumentException("setting \"" + name + "\" has no default"))
+                .value();
+    }
+
+    private void index(String path, JsonNode value) {
+        int cut = path.lastIndexOf('/');
+        if (schema.check(path, value).isPresent()) {
+            return;
+        }
+        String name = path.substring(cut + 1);
+        switch (SettingTarget.parse(path.substring(0, cut)).orElseThrow()) {
+            case SettingTarget.Service s when name.equals(SettingsSchema.KIND) -> services.add(s.service());
+            case SettingTarget.Service s
+            when name.equals(SettingsSchema.CALL_RULES) -> rules.put(s.service(), CallRules.of(texts(s, name)));
+            case SettingTarget.Customer c
+            when name.equals(SettingsSchema.KEY_HASH) -> {
+                customers.add(c.customer());
+                customersByKeyHash.put(value.asText(), c.customer());
+            }
+            case SettingTarget.Domain d when name.equals(SettingsSchema.REGION) -> domains.add(d.domain());
+            case SettingTarget.Model m
+            when name.equals(SettingsSchema.VERSIONS) ->
+                models.computeIfAbsent(m.service(), s -> new ArrayList<>()).add(m.model());
+            default -> {
+                // All other values are looked up by path.
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/settings/SettingsDocument.java
@@ -0,0 +1,103 @@
+package org.jujuberouter.settings;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * The whole settings as stored: the tree as paths with values, its version, and the last changes.
+ *
+ * @param version increases with every change; 0 before the first
+ * @param values the value of each path
+ * @param history the last changes, oldest first
+ */
+public record SettingsDocument(long version, SortedMap<String, JsonNode> values, List<ChangeRecord> history) {
+    /** The store key of the document. */
+    public static final String KEY = "settings";
+
+    /** The number of changes kept in the history. */
+    public static final int HISTORY_LENGTH = 256;
+
+    /** The largest encoded size, in bytes; the store accepts no larger value. */
+    public static final int MAX_BYTES = 1 << 20;
+
+    private static final ObjectMapper JSON =
+            new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+    /** Copies the parts. */
+    public SettingsDocument {
+        values = Collections.unmodifiableSortedMap(values == null ? new TreeMap<>() : new TreeMap<>(values));
+        history = history == null ? List.of() : List.copyOf(history);
+    }
+
+    /** Returns the document before the first change. */
+    public static SettingsDocument empty() {
+        return new SettingsDocument(0, new TreeMap<>(), List.of());
+    }
+
+    /** Reads a document from JSON. */
+    public static SettingsDocument decode(byte[] json) throws SettingsException {
+        try {
+            SettingsDocument document = JSON.readValue(json, SettingsDocument.class);
+            if (document == null || document.version() < 0) {
+                throw SettingsException.unreadable("it has no version", null);
+            }
+            return document;
+        } catch (IOException e) {
+            throw SettingsException.unreadable(e.getMessage(), e);
+        }
+    }
+
+    /** Returns the document as JSON. */
+    public byte[] encode() {
+        try {
+            return JSON.writeValueAsBytes(this);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("the settings document cannot be written as JSON", e);
+        }
+    }
+
+    /** Returns the record of a change that the history still has. */
+    public Optional<ChangeRecord> find(String changeId) {
+        return history.stream().filter(c -> c.changeId().equals(changeId)).findFirst();
+    }
+
+    /** Returns the record of the last change. */
+    public Optional<ChangeRecord> last() {
+        return history.isEmpty() ? Optional.empty() : Optional.of(history.getLast());
+    }
+
+    /** Tells whether the history reaches back to the change that made the given version. */
+    boolean remembers(long pastVersion) {
+        return history.size() < HISTORY_LENGTH || history.getFirst().version() <= pastVersion;
+    }
+
+    List<ChangeRecord> since(long seenVersion) {
+        return history.stream().filter(c -> c.version() > seenVersion).toList();
+    }
+
+    SettingsDocument with(SettingsChange change) {
+        TreeMap<String, JsonNode> next = new TreeMap<>(values);
+        for (Map.Entry<String, JsonNode> edit : change.edits().entrySet()) {
+            if (edit.getValue().isNull()) {
+                next.remove(edit.getKey());
+            } else {
+                next.put(edit.getKey(), edit.getValue());
+            }
+        }
+        long nextVersion = Math.max(version, change.aboveVersion()) + 1;
+        List<ChangeRecord> records = new ArrayList<>(history);
+        records.add(ChangeRecord.of(change, nextVersion));
+        int from = Math.max(0, records.size() - HISTORY_LENGTH);
+        return new SettingsDocument(nextVersion, next, records.subList(from, records.size()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/settings/SettingsException.java
@@ -0,0 +1,14 @@
+package org.jujuberouter.settings;
+
+/** A stored settings document cannot be used. */
+public class SettingsException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    private SettingsException(String message, Throwable cause) {
+        super(message, cause);
+    }
+
+    static SettingsException unreadable(String reason, Throwable cause) {
+        return new SettingsException("the settings document cannot be read: " + reason, cause);
+    }
+}
