Add the open-loop load tool

Cause: nothing shows how long callers wait, by prompt length, or whether each answer is whole and for its own request. Conclusion: each fault mode of the test server is named by the tool.

--- a/src/main/java/org/jujuberouter/cli/Main.java
+++ b/src/main/java/org/jujuberouter/cli/Main.java
@@ -16,6 +16,7 @@
     /** Runs the subcommand that the arguments name and exits with its code. */
     public static void main(String[] args) {
         System.exit(new CommandLine(new Main())
+                .addSubcommand(LoadCommand.of())
                 .addSubcommand(MeasurePeerCommand.of())
                 .execute(args));
     }
--- /dev/null
+++ b/src/test/java/org/jujuberouter/load/AnswerServer.java
@@ -0,0 +1,124 @@
+package org.jujuberouter.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Answers like an instance in front of stand-in engines, whole or with one chosen fault. */
+public final class AnswerServer implements AutoCloseable {
+    /** What is wrong with the answers. */
+    public enum Mode {
+        WHOLE,
+        FOREIGN_MARKER,
+        MISSING_TOKEN,
+        REPEATED_TOKEN,
+        NO_END,
+        ERROR_MIDWAY,
+        REFUSED,
+        RUNS_TWICE
+    }
+
+    private final HttpServer server;
+    private final Map<String, String> byKey = new ConcurrentHashMap<>();
+    private final AtomicInteger runs = new AtomicInteger();
+    private final ObjectMapper json = new ObjectMapper();
+    private volatile Mode mode = Mode.WHOLE;
+
+    private AnswerServer() throws IOException {
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 128);
+        server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
+        server.createContext("/v1/completions", this::complete);
+        server.createContext("/services/", this::serve);
+        server.start();
+    }
+
+    public static AnswerServer start() throws IOException {
+        return new AnswerServer();
+    }
+
+    public URI uri() {
+        return URI.create("http://127.0.0.1:" + server.getAddress().getPort());
+    }
+
+    public void mode(Mode next) {
+        mode = next;
+    }
+
+    private void complete(HttpExchange exchange) throws IOException {
+        JsonNode request = json.readTree(exchange.getRequestBody());
+        if (mode == Mode.REFUSED) {
+            send(exchange, 503, "{\"error\":{\"code\":\"no_capacity\",\"outcome\":\"not-run\"}}");
+            return;
+        }
+        String prompt = request.path("prompt").asText();
+        String marker = mode == Mode.FOREIGN_MARKER ? "marker-of-another" : prompt.substring(prompt.indexOf("marker-"));
+        int tokens = request.path("max_tokens").asInt();
+        StringBuilder text = new StringBuilder();
+        exchange.getResponseHeaders().add("Content-Type", "text/event-stream");
+        boolean stream = request.path("stream").asBoolean();
+        if (stream) {
+            exchange.sendResponseHeaders(200, 0);
+        }
+        try (OutputStream out = exchange.getResponseBody()) {
+            for (int i = 0; i < tokens; i++) {
+                if (mode == Mode.MISSING_TOKEN && i == 2) {
+                    continue;
+                }
+                String piece = "t" + i + " " + (mode == Mode.REPEATED_TOKEN && i == 2 ? "t2 " : "");
+                text.append(piece);
+                if (stream) {
+                    event(out, "{\"choices\":[{\"text\":\"" + piece + "\"}]}");
+                }
+                if (mode == Mode.ERROR_MIDWAY && i == 2) {
+                    event(out, "{\"error\":{\"code\":\"endpoint_failed\",\"outcome\":\"may-have-run\"}}");
+                    return;
+                }
+            }
+            if (!stream) {
+                send(exchange, 200, "{\"choices\":[{\"text\":\"" + text + "\"}],\"marker\":\"" + marker + "\"}");
+            } else if (mode != Mode.NO_END) {
+                event(
+                        out,
+                        "{\"choices\":[{\"text\":\"\",\"finish_reason\":\"length\"}],\"marker\":\"" + marker + "\"}");
+                event(out, "[DONE]");
+            }
+        }
+    }
+
+    private void serve(HttpExchange exchange) throws IOException {
+        exchange.getRequestBody().readAllBytes();
+        String key = exchange.getRequestHeaders().getFirst("Idempotency-Key");
+        String answer = key == null || mode == Mode.RUNS_TWICE
+                ? "{\"run\":" + runs.incrementAndGet() + "}"
+                : byKey.computeIfAbsent(key, k -> "{\"run\":" + runs.incrementAndGet() + "}");
+        send(exchange, 200, answer);
+    }
+
+    private static void event(OutputStream out, String data) throws IOException {
+        out.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+
+    private static void send(HttpExchange exchange, int status, String body) throws IOException {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        exchange.sendResponseHeaders(status, bytes.length);
+        exchange.getResponseBody().write(bytes);
+        exchange.close();
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jujuberouter/load/LoadRunnerTest.java
@@ -0,0 +1,161 @@
+package org.jujuberouter.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.PrintWriter;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+import org.jujuberouter.report.RequestRecord;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against a load tool that overlooks wrong answers, hides waiting or cannot repeat a load. */
+class LoadRunnerTest {
+    private AnswerServer server;
+
+    @BeforeEach
+    void start() throws Exception {
+        server = AnswerServer.start();
+    }
+
+    @AfterEach
+    void stop() {
+        server.close();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "WHOLE, none, completed",
+        "FOREIGN_MARKER, foreign, unknown",
+        "MISSING_TOKEN, order, unknown",
+        "REPEATED_TOKEN, order, unknown",
+        "NO_END, incomplete, unknown",
+        "ERROR_MIDWAY, endpoint_failed, may-have-run",
+        "REFUSED, no_capacity, not-run"
+    })
+    void namesWhatIsWrongWithAnAnswer(AnswerServer.Mode mode, String fault, String outcome) throws Exception {
+        server.mode(mode);
+        List<RequestRecord> records = run(List.of(completion(Kind.STREAM, 0, 0)));
+        assertEquals(fault, records.getFirst().fault());
+        assertEquals(outcome, records.getFirst().outcome());
+        assertEquals(mode == AnswerServer.Mode.WHOLE, records.getFirst().whole());
+    }
+
+    @Test
+    void checksAnAnswerThatArrivesAtOnce() throws Exception {
+        assertTrue(run(List.of(completion(Kind.COMPLETION, 0, 0))).getFirst().whole());
+        server.mode(AnswerServer.Mode.FOREIGN_MARKER);
+        assertEquals(
+                "foreign",
+                run(List.of(completion(Kind.COMPLETION, 0, 0))).getFirst().fault());
+    }
+
+    @Test
+    void countsAResendThatGetsAnotherAnswerAsADuplicate() throws Exception {
+        TraceEntry first = new TraceEntry(0, "c", "ledger", "credits", Kind.POST, 0, "", 0, 5000, "k1", 0);
+        Trace trace = new Trace(1, List.of(first, first.at(100)));
+        assertEquals(0, result(trace).duplicates());
+        server.mode(AnswerServer.Mode.RUNS_TWICE);
+        assertEquals(1, result(trace).duplicates());
+    }
+
+    @Test
+    void readsSlowlyAndKeepsSlowReadersApart() throws Exception {
+        // 20 events of about 35 bytes, 100 bytes of marker and 200 of other framing at 1,000 bytes/s.
+        List<RequestRecord> records = run(List.of(completion(Kind.STREAM, 0, 1000)));
+        assertTrue(records.getFirst().whole());
+        assertTrue(
+                records.getFirst().totalMs() > 500,
+                "read in " + records.getFirst().totalMs() + " ms");
+        assertTrue(result(new Trace(1, List.of(completion(Kind.STREAM, 0, 100_000))))
+                .toJson()
+                .contains("1k-slow"));
+    }
+
+    @Test
+    void countsTimeFromTheIntendedStart() throws Exception {
+        List<RequestRecord> records = run(List.of(completion(Kind.STREAM, 0, 0), completion(Kind.STREAM, 300, 0)));
+        long apart = Math.abs(records.get(1).t() - records.get(0).t());
+        assertEquals(300, apart);
+    }
+
+    @Test
+    void writesAPromptOfTheStatedLengthWithASharedStart() throws Exception {
+        TraceEntry entry = new TraceEntry(0, "c", "m", "", Kind.STREAM, 1000, "g1", 20, 5000, "", 0);
+        String one = new String(PromptBody.of(entry, "m", 1, "marker-1").readAllBytes(), StandardCharsets.UTF_8);
+        String two = new String(PromptBody.of(entry, "m", 1, "marker-2").readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(PromptBody.of(entry, "m", 1, "marker-1").length(), one.length());
+        assertEquals(1000, one.substring(one.indexOf("prompt")).split(" ").length);
+        int shared = 0;
+        while (one.charAt(shared) == two.charAt(shared)) {
+            shared++;
+        }
+        assertEquals(0.75, shared / (double) one.length(), 0.02);
+    }
+
+    @Test
+    void plansTheSameTraceForTheSameSeed() throws Exception {
+        Experiment experiment =
+                new Experiment("x", 600, new Arrivals.Poisson(20), Mix.named("design"), Experiment.Shape.USUAL);
+        assertEquals(experiment.plan(5), experiment.plan(5));
+        Trace trace = experiment.plan(5);
+        long longOnes =
+                trace.entries().stream().filter(e -> e.promptTokens() > 100_000).count();
+        assertEquals(0.02, longOnes / (double) trace.entries().size(), 0.005);
+    }
+
+    @Test
+    void startsBurstsAndStepsWhenTheyAreDue() {
+        long[] bursts = new Arrivals.Bursts(0, 50, 10).offsets(35, new SplittableRandom(1));
+        assertEquals(150, bursts.length);
+        assertEquals(
+                List.of(10_000L, 20_000L, 30_000L),
+                LongStream.of(bursts).distinct().boxed().toList());
+        Arrivals steps = new Arrivals.Steps(List.of(new Arrivals.Step(10, 100), new Arrivals.Step(10, 0)));
+        long[] offsets = steps.offsets(30, new SplittableRandom(1));
+        assertEquals(1000, offsets.length, 120);
+        assertTrue(offsets[offsets.length - 1] < 10_000);
+    }
+
+    @Test
+    void namesThePlaceOfAFaultInASettingsFile(@TempDir Path folder) throws Exception {
+        Path file = folder.resolve("load.json");
+        Files.writeString(file, "{\"experiments\":[{\"name\":\"a\",\"seconds\":1,\n\"mix\":\"trays\",\"rat\":3}]}");
+        LoadException e = assertThrows(LoadException.class, () -> Experiment.readAll(file));
+        assertTrue(e.getMessage().contains("line 2") && e.getMessage().contains("rat"), e.getMessage());
+        Files.writeString(file, "{\"experiments\":[{\"name\":\"a\",\"seconds\":1,\"mix\":\"trays\"}]}");
+        e = assertThrows(LoadException.class, () -> Experiment.readAll(file));
+        assertTrue(e.getMessage().endsWith("needs \"rate\" or \"steps\""), e.getMessage());
+    }
+
+    private static TraceEntry completion(Kind kind, long offset, int reader) {
+        return new TraceEntry(offset, "c", "assistant", "", kind, 100, "g", 20, 5000, "", reader);
+    }
+
+    private List<RequestRecord> run(List<TraceEntry> entries) throws Exception {
+        List<RequestRecord> records = new ArrayList<>();
+        runner().run("test", new Trace(1, entries), 1, records::add);
+        return records;
+    }
+
+    private LoadResult result(Trace trace) throws Exception {
+        return runner().run("test", trace, 1, r -> {});
+    }
+
+    private LoadRunner runner() {
+        return LoadRunner.of(List.of(server.uri()), Map.of(), 100, new PrintWriter(Writer.nullWriter()));
+    }
+}
