--- a/src/main/java/org/jujuberouter/cli/Main.java
+++ b/src/main/java/org/jujuberouter/cli/Main.java
@@ -18,6 +18,7 @@
         System.exit(new CommandLine(new Main())
                 .addSubcommand(LoadCommand.of())
                 .addSubcommand(MeasurePeerCommand.of())
+                .addSubcommand(ReplayCommand.of())
                 .execute(args));
     }
 
