Add the report on service-level burn

Cause: a recorded run shows times, but not how fast an objective's error budget burns or since when. Ruled out: a linear axis; with an availability of 99.9 % rates reach several hundred and the limits cannot be told apart. Labels on the limit lines covered each other; the limits are in the legend.

--- a/src/main/java/org/jujuberouter/cli/LoadCommand.java
+++ b/src/main/java/org/jujuberouter/cli/LoadCommand.java
@@ -4,6 +4,7 @@
 import java.io.PrintWriter;
 import java.io.Writer;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -72,6 +73,9 @@
         List<Experiment> experiments;
         try {
             experiments = experiments();
+        } catch (NoSuchFileException e) {
+            spec.commandLine().getErr().println("no settings file at " + settings);
+            return 2;
         } catch (LoadException e) {
             spec.commandLine().getErr().println(e.getMessage());
             return 2;
--- a/src/main/java/org/jujuberouter/cli/Main.java
+++ b/src/main/java/org/jujuberouter/cli/Main.java
@@ -19,6 +19,7 @@
                 .addSubcommand(LoadCommand.of())
                 .addSubcommand(MeasurePeerCommand.of())
                 .addSubcommand(ReplayCommand.of())
+                .addSubcommand(ReportCommand.of())
                 .execute(args));
     }
 
--- a/src/main/java/org/jujuberouter/cli/ReplayCommand.java
+++ b/src/main/java/org/jujuberouter/cli/ReplayCommand.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.Writer;
+import java.nio.file.NoSuchFileException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -73,6 +74,9 @@
         Trace recorded;
         try {
             recorded = Trace.open(trace);
+        } catch (NoSuchFileException e) {
+            spec.commandLine().getErr().println("no trace at " + trace);
+            return 2;
         } catch (LoadException e) {
             spec.commandLine().getErr().println(trace + ": " + e.getMessage());
             return 2;
--- /dev/null
+++ b/src/main/java/org/jujuberouter/report/Objective.java
@@ -0,0 +1,92 @@
+package org.jujuberouter.report;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * What share of the requests must be good by one measure.
+ *
+ * @param measure what is measured
+ * @param limitMs up to how many milliseconds a request is good; 0 for availability
+ * @param share the share that must be good, above 0 and below 1
+ */
+public record Objective(Measure measure, double limitMs, double share) {
+    /** The objectives of the design size, and an availability that leaves one failure in a thousand. */
+    public static final List<Objective> USUAL = List.of(
+            new Objective(Measure.FIRST_TOKEN, 1200, 0.95),
+            new Objective(Measure.BETWEEN_TOKENS, 43, 0.95),
+            new Objective(Measure.AVAILABILITY, 0, 0.999));
+
+    /** What is measured. */
+    public enum Measure {
+        /** The time to the first token of a streamed answer. */
+        FIRST_TOKEN("first-token"),
+        /** The 95th percentile of the times between the events of one answer. */
+        BETWEEN_TOKENS("between-tokens"),
+        /** Whether the whole right answer arrived. */
+        AVAILABILITY("availability");
+
+        private final String text;
+
+        Measure(String text) {
+            this.text = text;
+        }
+
+        /** Returns the form used in options and results. */
+        public String text() {
+            return text;
+        }
+    }
+
+    /** Returns the objective in a form like {@code first-token=1200@0.95} or {@code availability=0.999}. */
+    public static Objective parse(String text) throws ReportException {
+        try {
+            String[] sides = text.split("=", 2);
+            Measure measure = Arrays.stream(Measure.values())
+                    .filter(m -> m.text.equals(sides[0]))
+                    .findFirst()
+                    .orElseThrow(() -> new IllegalArgumentException("unknown measure"));
+            boolean timed = measure != Measure.AVAILABILITY;
+            String[] numbers = sides[1].split("@", 2);
+            double limit = timed ? Double.parseDouble(numbers[0]) : 0;
+            double share = Double.parseDouble(numbers[timed ? 1 : 0]);
+            if (!(share > 0 && share < 1) || !(limit > 0) && timed) {
+                throw new IllegalArgumentException("the share must be between 0 and 1 and the limit above 0");
+            }
+            return new Objective(measure, limit, share);
+        } catch (IllegalArgumentException | ArrayIndexOutOfBoundsException e) {
+            throw ReportException.of("objective \"" + text + "\" does not have the form first-token=MS@SHARE,"
+                    + " between-tokens=MS@SHARE or availability=SHARE");
+        }
+    }
+
+    /** Returns the share of requests that may be bad. */
+    public double budget() {
+        return 1 - share;
+    }
+
+    /** Tells whether the request is good, or nothing when the objective does not apply to it. */
+    Optional<Boolean> judge(RequestRecord request) {
+        // A request that its caller got wrong or that exceeds the caller's own limit spends no budget.
+        if (request.status() >= 400 && request.status() < 500) {
+            return Optional.empty();
+        }
+        return switch (measure) {
+            case AVAILABILITY -> Optional.of(request.whole());
+            case FIRST_TOKEN ->
+                "stream".equals(request.kind())
+                        ? Optional.of(request.firstMs() >= 0 && request.firstMs() <= limitMs)
+                        : Optional.empty();
+            case BETWEEN_TOKENS -> request.gapMs() >= 0 ? Optional.of(request.gapMs() <= limitMs) : Optional.empty();
+        };
+    }
+
+    @Override
+    public String toString() {
+        return measure == Measure.AVAILABILITY
+                ? String.format(Locale.ROOT, "availability: %.2f %% answered whole", share * 100)
+                : String.format(Locale.ROOT, "%s: %.4g %% within %.0f ms", measure.text, share * 100, limitMs);
+    }
+}
