Add features for traces and the burn report

Cause: what a replay and a burn report promise to an operator is not written in an operator's words. A first scenario with one request a second showed that the fast rule stayed silent through an outage, because its scaled window of 8.3 s held fewer than ten requests; the rule is right, the silence was not.

--- a/src/main/java/org/jujuberouter/report/Burn.java
+++ b/src/main/java/org/jujuberouter/report/Burn.java
@@ -1,6 +1,7 @@
 package org.jujuberouter.report;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 
@@ -43,6 +44,11 @@
         boolean fired() {
             return firedAt >= 0;
         }
+
+        /** Tells whether the long window held enough requests at any time. */
+        boolean judged() {
+            return Arrays.stream(rates).anyMatch(rate -> !Double.isNaN(rate));
+        }
     }
 
     Objective objective() {
--- a/src/main/java/org/jujuberouter/report/BurnReport.java
+++ b/src/main/java/org/jujuberouter/report/BurnReport.java
@@ -72,6 +72,9 @@
     }
 
     private String cell(Burn.Finding finding) {
+        if (!finding.judged()) {
+            return "too few requests";
+        }
         return finding.fired()
                 ? String.format(Locale.ROOT, "%.1f FIRED at +%s", finding.peak(), duration(finding.firedAt() - first))
                 : String.format(Locale.ROOT, "%.1f", finding.peak());
@@ -98,6 +101,7 @@
                         .put("longMs", finding.rule().longMs())
                         .put("shortMs", finding.rule().shortMs())
                         .put("rate", finding.rule().rate())
+                        .put("judged", finding.judged())
                         .put("peak", finding.peak())
                         .put("firedAt", finding.firedAt())
                         .put("firedMs", finding.firedMs());
--- /dev/null
+++ b/src/test/java/org/jujuberouter/features/TraceSteps.java
@@ -0,0 +1,134 @@
+package org.jujuberouter.features;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cucumber.java.After;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.io.IOException;
+import java.io.Writer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.jujuberouter.cli.ReplayCommand;
+import org.jujuberouter.load.AnswerServer;
+import org.jujuberouter.load.Kind;
+import org.jujuberouter.load.Trace;
+import org.jujuberouter.load.TraceEntry;
+
+/** Steps about traces and their replay. */
+public class TraceSteps {
+    private AnswerServer server;
+    private Path trace;
+    private CommandLineRun run;
+
+    @Given("a service that answers like the assistant and the ledger")
+    public void startService() throws IOException {
+        server = AnswerServer.start();
+    }
+
+    @Given("a trace with {int} questions, {int} long reviews, a slow reader and a credit that is sent twice")
+    public void writeTrace(int questions, int reviews) throws IOException {
+        List<TraceEntry> entries = new ArrayList<>();
+        for (int i = 0; i < questions; i++) {
+            entries.add(completion(1_500, 0));
+        }
+        for (int i = 0; i < reviews; i++) {
+            entries.add(completion(120_000, 0));
+        }
+        entries.add(completion(1_500, 5_000));
+        TraceEntry credit = new TraceEntry(0, "depot", "ledger", "credits", Kind.POST, 0, "", 0, 9000, "k1", 0);
+        entries.add(credit);
+        entries.add(credit.at(50));
+        trace = Files.createTempFile("trace", ".jsonl");
+        try (Writer out = Files.newBufferedWriter(trace)) {
+            new Trace(3, entries).write(out);
+        }
+    }
+
+    @Given("line {int} of the trace is damaged")
+    public void damage(int line) throws IOException {
+        List<String> lines = new ArrayList<>(Files.readAllLines(trace));
+        lines.set(line - 1, "{\"t\":");
+        Files.write(trace, lines);
+    }
+
+    @Given("the service loses a piece of each answer")
+    public void losePieces() {
+        server.mode(AnswerServer.Mode.MISSING_TOKEN);
+    }
+
+    @Given("the service gives callers the answers of others")
+    public void crossAnswers() {
+        server.mode(AnswerServer.Mode.FOREIGN_MARKER);
+    }
+
+    @Given("the service cuts answers off before their end")
+    public void cutAnswers() {
+        server.mode(AnswerServer.Mode.NO_END);
+    }
+
+    @Given("the service runs each credit as often as it is sent")
+    public void runTwice() {
+        server.mode(AnswerServer.Mode.RUNS_TWICE);
+    }
+
+    @Given("the service refuses all prompts as not run")
+    public void refuse() {
+        server.mode(AnswerServer.Mode.REFUSED);
+    }
+
+    @When("the operator replays the trace, expecting whole answers and no duplicates")
+    public void replay() {
+        replayWith("--expect-whole", "--expect-no-duplicates");
+    }
+
+    @When("the operator replays the trace, allowing a share of {double} not to run")
+    public void replayAllowing(double share) {
+        replayWith("--expect-whole", "--allow-not-run", Double.toString(share));
+    }
+
+    @When("the operator replays the trace, expecting first tokens of class {string} within {double} ms")
+    public void replayWithTarget(String lengthClass, double millis) {
+        replayWith("--expect-first-token", lengthClass + "=" + millis);
+    }
+
+    @Then("the replay succeeds")
+    public void succeeds() {
+        assertEquals(0, run.status(), run.output());
+    }
+
+    @Then("the replay fails and says {string}")
+    public void fails(String finding) {
+        assertEquals(1, run.status(), run.output());
+        assertTrue(run.output().contains(finding), run.output());
+    }
+
+    @Then("the replay is refused and says {string}")
+    public void refused(String finding) {
+        assertEquals(2, run.status(), run.output());
+        assertTrue(run.output().contains(finding), run.output());
+    }
+
+    @After
+    public void stop() throws IOException {
+        if (server != null) {
+            server.close();
+            Files.deleteIfExists(trace);
+        }
+    }
+
+    private void replayWith(String... options) {
+        List<String> arguments = new ArrayList<>(
+                List.of(trace.toString(), "--target", server.uri().toString()));
+        arguments.addAll(List.of(options));
+        run = CommandLineRun.of(ReplayCommand.of(), arguments.toArray(String[]::new));
+    }
+
+    private static TraceEntry completion(int promptTokens, int reader) {
+        return new TraceEntry(0, "depot", "assistant", "", Kind.STREAM, promptTokens, "season", 20, 9000, "", reader);
+    }
+}
