Keep no connection to this instance and announce incarnations without a gap

Cause: a network that listens on all interfaces cannot tell which listed address is its own and dialled itself again after each back-off; a new incarnation announced during a handshake did not reach that peer; the load tool could send on an idle connection that the server was closing. Change: an address whose Hello shows this instance is not dialled again; the current Hello is sent again when it changed during the handshake; the load tool drops idle connections after 10 s, before servers do. Ruled out: binding to all interfaces in the test; a second network with the same incarnation stands for the other address.

--- a/src/main/java/org/jujuberouter/load/LoadClient.java
+++ b/src/main/java/org/jujuberouter/load/LoadClient.java
@@ -39,10 +39,18 @@
     /** A plain service answers in one small document; a larger one is cut and counts as incomplete. */
     private static final int MAX_BODY_BYTES = 64 << 20;
 
+    private static final String KEEP_ALIVE_PROPERTY = "jdk.httpclient.keepalive.timeout";
     private static final int WARM_UP_CALLS = 20;
     private static final String UNKNOWN = "unknown";
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    static {
+        // Servers close idle connections, usually after 30 s; a call sent on such a connection would count as a fault.
+        if (System.getProperty(KEEP_ALIVE_PROPERTY) == null) {
+            System.setProperty(KEEP_ALIVE_PROPERTY, "10");
+        }
+    }
+
     private final HttpClient http = HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(CONNECT_TIMEOUT)
--- a/src/main/java/org/jujuberouter/peer/PeerNetwork.java
+++ b/src/main/java/org/jujuberouter/peer/PeerNetwork.java
@@ -157,18 +157,23 @@
     }
 
     /** Runs one connection from handshake to end; each fault ends this connection alone. */
-    private void serve(Socket socket) {
+    private PeerConnection serve(Socket socket) {
         PeerConnection connection = PeerConnection.of(socket, ticker, listener);
         all.add(connection);
         if (closed) {
             connection.close();
         }
         try {
-            connection.handshake(Hello.of(self, domain));
+            Incarnation announced = self;
+            connection.handshake(Hello.of(announced, domain));
             if (connection.peer().instance().equals(self.instance())) {
                 throw PeerException.of(Kind.MALFORMED, "Hello", "the peer has the name of this instance");
             }
             ready.add(connection);
+            if (!self.equals(announced)) {
+                // The broadcast of a new incarnation may have missed this connection.
+                connection.send(Hello.of(self, domain));
+            }
             connection.run();
         } catch (IOException | PeerException e) {
             connection.close(PeerConnection.describe(e));
@@ -181,12 +186,16 @@
             connection.close();
             logEnd(connection);
         }
+        return connection;
     }
 
     /** Logs at most one failed handshake a second, so that strangers cannot fill the log. */
     private void logEnd(PeerConnection connection) {
         long now = ticker.millis();
         long last = lastStrangerLog.get();
+        if (isSelf(connection)) {
+            return;
+        }
         if (connection.isKnown() || (now - last >= STRANGER_LOG_MILLIS && lastStrangerLog.compareAndSet(last, now))) {
             LOG.log(
                     System.Logger.Level.INFO,
@@ -196,13 +205,21 @@
         }
     }
 
+    /** A listening address of all interfaces does not show which of the listed addresses is this instance. */
+    private boolean isSelf(PeerConnection connection) {
+        return connection.isKnown() && connection.peer().equals(self);
+    }
+
     private void dialUntilUnwanted(InetSocketAddress address) {
         long backOff = BACK_OFF_FIRST_MILLIS;
         while (!closed && !Thread.currentThread().isInterrupted()) {
             long start = ticker.millis();
             try (Socket socket = new Socket()) {
                 socket.connect(address, CONNECT_TIMEOUT_MILLIS);
-                serve(socket);
+                if (isSelf(serve(socket))) {
+                    LOG.log(System.Logger.Level.DEBUG, "[peer] {0} is an address of this instance", address);
+                    return;
+                }
             } catch (IOException e) {
                 LOG.log(System.Logger.Level.DEBUG, "[peer] cannot connect to {0}: {1}", address, e.getMessage());
             }
--- a/src/test/java/org/jujuberouter/peer/PeerNetworkTest.java
+++ b/src/test/java/org/jujuberouter/peer/PeerNetworkTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -158,6 +159,18 @@
         }
     }
 
+    /** The second network stands for another address of the first one. */
+    @Test
+    void keepsNoConnectionToItself() throws Exception {
+        PeerNetwork self = start("a", (from, m) -> {});
+        PeerNetwork sameByAnotherAddress = start("a", (from, m) -> {});
+        PeerNetwork other = start("b", (from, m) -> {});
+        self.connectTo(List.of(sameByAnotherAddress.address(), self.address(), other.address()));
+        await(() -> self.connected().size() == 1);
+        Thread.sleep(300);
+        assertEquals(Set.of(Incarnation.of(id("b"), 1)), self.connected());
+    }
+
     @Test
     void broadcastsOnceToAPeerWithConnectionsInBothDirections() throws Exception {
         PeerNetwork a = start("a", (from, m) -> {});
