--- a/src/main/java/org/jujuberouter/admission/EndpointBook.java
+++ b/src/main/java/org/jujuberouter/admission/EndpointBook.java
@@ -168,8 +168,8 @@
     }
 
     /** Removes a request that its holder no longer wants. */
-    public synchronized void withdraw(PermitRequest request) {
-        WaitQueue.Waiter waiter = waiting.remove(request.id());
+    public synchronized void withdraw(RequestId id) {
+        WaitQueue.Waiter waiter = waiting.remove(id);
         if (waiter != null) {
             queues.get(waiter.request.lane()).removeIf(other -> other == waiter);
         }
--- a/src/main/java/org/jujuberouter/cli/EntryCommand.java
+++ b/src/main/java/org/jujuberouter/cli/EntryCommand.java
@@ -1,7 +1,6 @@
 package org.jujuberouter.cli;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
 import java.util.concurrent.Callable;
@@ -75,20 +74,14 @@
         EntryDaemon daemon = EntryDaemon.start(new EntryOptions(
                 InstanceId.of(instance),
                 FailureDomain.of(domain),
-                address(listen),
-                address(peerListen),
+                EntryOptions.parseAddress(listen),
+                EntryOptions.parseAddress(peerListen),
                 store,
                 list,
                 maxBodyBytes,
                 Duration.ofMillis(drainTimeoutMs)));
-        System.out.println("entry at http:/" + daemon.address());
+        System.out.println("entry at http:/" + daemon.address() + ", peers at " + daemon.peerAddress());
         StandinCommand.awaitStop(daemon);
         return 0;
     }
-
-    /** Parses host and port. */
-    static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-    }
 }
--- a/src/main/java/org/jujuberouter/cli/MeasurePeerCommand.java
+++ b/src/main/java/org/jujuberouter/cli/MeasurePeerCommand.java
@@ -101,7 +101,8 @@
         if (message instanceof PermitRequest request) {
             try {
                 from.send(new PermitReply(
-                        request.callId(), new Granted(90_001, EndpointId.of("kk-engine-17"), 17, 1_000)));
+                        request.callId(),
+                        new Granted(90_001, EndpointId.of("kk-engine-17"), 17, 1_000, "kk-engine-17@41")));
             } catch (PeerException e) {
                 throw new IllegalStateException(e.getMessage(), e);
             }
--- a/src/main/java/org/jujuberouter/demo/Demo.java
+++ b/src/main/java/org/jujuberouter/demo/Demo.java
@@ -19,7 +19,6 @@
 public final class Demo {
     private static final int INSTANCES = 3;
     private static final int ENGINES = 6;
-    private static final String API_KEY = "demo-key-depot";
 
     private final DemoSite site;
     private final DemoCaller caller;
@@ -28,7 +27,7 @@
 
     private Demo(DemoSite site, PrintStream out) {
         this.site = site;
-        this.caller = DemoCaller.of(site.callerAddresses(), API_KEY);
+        this.caller = DemoCaller.of(site.callerAddresses(), DemoSettings.API_KEY);
         this.out = out;
     }
 
--- a/src/main/java/org/jujuberouter/demo/DemoSettings.java
+++ b/src/main/java/org/jujuberouter/demo/DemoSettings.java
@@ -1,12 +1,57 @@
 package org.jujuberouter.demo;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.io.IOException;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.HexFormat;
+import java.util.List;
+import org.jujuberouter.misc.Ticker;
+import org.jujuberouter.platform.HttpPlatformStore;
+import org.jujuberouter.settings.SettingsChange;
+import org.jujuberouter.settings.SettingsEditor;
+import org.jujuberouter.settings.SettingsResult;
 
-/** The settings of the demo's site. */
+/** The settings of the demo's site: an assistant, a ledger, three failure domains and one customer. */
 final class DemoSettings {
+    static final String API_KEY = "demo-key-depot";
+
     private DemoSettings() {}
 
-    static void write(URI store) {
-        // the settings tree is added with its package
+    static void write(URI store, List<String> domains) throws IOException {
+        SettingsEditor editor = SettingsEditor.of(HttpPlatformStore.at(store), Ticker.system(), Duration.ofSeconds(5));
+        JsonNodeFactory json = JsonNodeFactory.instance;
+        SettingsChange change = SettingsChange.of("demo-1", "demo", System.currentTimeMillis(), "set up the demo", 0)
+                .set("service/assistant/kind", json.textNode("inference"))
+                .set(
+                        "service/assistant/model/" + DemoCaller.MODEL + "/versions",
+                        json.arrayNode().add("1"))
+                .set("service/ledger/kind", json.textNode("plain"))
+                .set("customer/depot/key-hash", json.textNode(sha256(API_KEY)))
+                .set("customer/depot/limits.requests-per-second", json.numberNode(1000));
+        for (String domain : domains) {
+            change = change.set("domain/" + domain + "/region", json.textNode("isan"));
+        }
+        try {
+            SettingsResult result = editor.apply(change);
+            if (!(result instanceof SettingsResult.Accepted)) {
+                throw new IOException("the settings were not accepted: " + result);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    private static String sha256(String text) {
+        try {
+            return HexFormat.of()
+                    .formatHex(MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every JDK has SHA-256", e);
+        }
     }
 }
--- a/src/main/java/org/jujuberouter/demo/DemoSite.java
+++ b/src/main/java/org/jujuberouter/demo/DemoSite.java
@@ -36,7 +36,7 @@
         DemoSite site = new DemoSite();
         site.store = site.own(StoreServer.start());
         site.list = site.own(ListServer.start(0, Duration.ofMillis(500)));
-        DemoSettings.write(site.store.address());
+        DemoSettings.write(site.store.address(), DOMAINS);
         for (int i = 0; i < engineCount; i++) {
             site.addEngine(i);
         }
@@ -72,6 +72,12 @@
                 MAX_BODY_BYTES,
                 Duration.ofSeconds(30))));
         instances.add(entry);
+        register(
+                "entry-" + i,
+                ListedMember.Role.INSTANCE,
+                "",
+                "127.0.0.1:" + entry.peerAddress().getPort(),
+                DOMAINS.get(i % DOMAINS.size()));
     }
 
     private void register(String name, ListedMember.Role role, String service, String address, String domain) {
--- a/src/main/java/org/jujuberouter/entry/CallerExchange.java
+++ b/src/main/java/org/jujuberouter/entry/CallerExchange.java
@@ -8,7 +8,11 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import org.jujuberouter.error.ErrorKind;
 import org.jujuberouter.error.JujuberouterException;
 import org.jujuberouter.error.Outcome;
@@ -26,6 +30,9 @@
     private static final int READ_BYTES = 64 * 1024;
     private static final String DONE_EVENT = "data: [DONE]\n\n";
 
+    private static final Duration CLOSE_GRACE = Duration.ofSeconds(1);
+    private static final ScheduledThreadPoolExecutor TIMERS = timers();
+
     private final HttpExchange http;
     private boolean started;
     private OutputStream out;
@@ -34,6 +41,13 @@
         this.http = http;
     }
 
+    private static ScheduledThreadPoolExecutor timers() {
+        ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(
+                1, Thread.ofPlatform().name("caller-deadlines").daemon().factory());
+        timers.setRemoveOnCancelPolicy(true);
+        return timers;
+    }
+
     static CallerExchange of(HttpExchange http) {
         return new CallerExchange(http);
     }
@@ -161,6 +175,17 @@
         out.flush();
     }
 
+    /**
+     * Closes the connection some time after the request's deadline unless the guard is closed before.
+     *
+     * <p>A caller that stopped reading blocks the thread that writes to it; only closing the connection ends that write.
+     */
+    AutoCloseableGuard closeAt(CallerGate.Entered entered) {
+        Duration wait = entered.timeLeft().plus(CLOSE_GRACE);
+        ScheduledFuture<?> timer = TIMERS.schedule(http::close, wait.toMillis(), TimeUnit.MILLISECONDS);
+        return () -> timer.cancel(false);
+    }
+
     @Override
     public void close() {
         http.close();
--- a/src/main/java/org/jujuberouter/entry/CallerGate.java
+++ b/src/main/java/org/jujuberouter/entry/CallerGate.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.jujuberouter.error.ErrorKind;
 import org.jujuberouter.error.JujuberouterException;
 import org.jujuberouter.id.CustomerId;
@@ -23,20 +24,20 @@
     private static final String BEARER = "Bearer ";
     private static final int MAX_KEY_LENGTH = 255;
 
-    private final Incarnation self;
+    private final Supplier<Incarnation> self;
     private final Ticker ticker;
     private final int maxBodyBytes;
     private final CallerPolicy policy;
     private final AtomicLong next = new AtomicLong();
 
-    private CallerGate(Incarnation self, Ticker ticker, int maxBodyBytes, CallerPolicy policy) {
+    private CallerGate(Supplier<Incarnation> self, Ticker ticker, int maxBodyBytes, CallerPolicy policy) {
         this.self = self;
         this.ticker = ticker;
         this.maxBodyBytes = maxBodyBytes;
         this.policy = policy;
     }
 
-    static CallerGate create(Incarnation self, Ticker ticker, int maxBodyBytes, CallerPolicy policy) {
+    static CallerGate create(Supplier<Incarnation> self, Ticker ticker, int maxBodyBytes, CallerPolicy policy) {
         return new CallerGate(self, ticker, maxBodyBytes, policy);
     }
 
@@ -49,15 +50,16 @@
         Optional<CustomerId> customerOf(String key);
 
         /** Returns the deadline of requests that name none. */
-        Duration defaultDeadline();
+        Duration defaultDeadline(CustomerId customer);
 
         /** Returns the longest deadline. */
-        Duration maxDeadline();
+        Duration maxDeadline(CustomerId customer);
     }
 
     /**
      * A request that passed the checks.
      *
+     * @param sequence counts the requests of this run of the process
      * @param id the id of the request
      * @param customer who sent it
      * @param body the whole body
@@ -67,6 +69,7 @@
      * @param ticker the instance's ticker
      */
     record Entered(
+            long sequence,
             RequestId id,
             CustomerId customer,
             byte[] body,
@@ -86,17 +89,18 @@
 
     Entered enter(CallerExchange exchange, String method) throws JujuberouterException {
         long arrived = ticker.nanos();
-        RequestId id = RequestId.of(self + "-" + next.incrementAndGet());
+        long sequence = next.incrementAndGet();
+        RequestId id = new RunId(self.get(), sequence, 0).toRequestId();
         exchange.setHeader(REQUEST_ID_HEADER, id.value());
         if (method != null && !exchange.method().equals(method)) {
             throw JujuberouterException.notRun(ErrorKind.METHOD_NOT_ALLOWED, exchange.method(), exchange.path());
         }
         policy.requireReady();
         CustomerId customer = authenticate(exchange);
-        Duration deadline = deadline(exchange);
+        Duration deadline = deadline(exchange, customer);
         Optional<IdempotencyKey> key = key(exchange);
         byte[] body = exchange.readBody(maxBodyBytes);
-        return new Entered(id, customer, body, key, arrived + deadline.toNanos(), arrived, ticker);
+        return new Entered(sequence, id, customer, body, key, arrived + deadline.toNanos(), arrived, ticker);
     }
 
     private CustomerId authenticate(CallerExchange exchange) throws JujuberouterException {
@@ -107,12 +111,12 @@
                 .orElseThrow(() -> JujuberouterException.notRun(ErrorKind.UNAUTHORIZED));
     }
 
-    private Duration deadline(CallerExchange exchange) throws JujuberouterException {
+    private Duration deadline(CallerExchange exchange, CustomerId customer) throws JujuberouterException {
         Optional<String> text = exchange.header(DEADLINE_HEADER);
         if (text.isEmpty()) {
-            return policy.defaultDeadline();
+            return policy.defaultDeadline(customer);
         }
-        long max = policy.maxDeadline().toMillis();
+        long max = policy.maxDeadline(customer).toMillis();
         try {
             long ms = Long.parseLong(text.get().trim());
             if (ms >= 1 && ms <= max) {
--- a/src/main/java/org/jujuberouter/entry/CallerHttp.java
+++ b/src/main/java/org/jujuberouter/entry/CallerHttp.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.jujuberouter.error.ErrorKind;
 import org.jujuberouter.error.JujuberouterException;
 
@@ -22,6 +23,7 @@
 
     private final HttpServer server;
     private final ExecutorService threads;
+    private final AtomicInteger inFlight = new AtomicInteger();
 
     private CallerHttp(HttpServer server, ExecutorService threads) {
         this.server = server;
@@ -57,7 +59,13 @@
         return server.getAddress();
     }
 
-    private static void serve(HttpExchange http, Handler handler) {
+    /** Returns the number of exchanges that have not ended. */
+    int inFlight() {
+        return inFlight.get();
+    }
+
+    private void serve(HttpExchange http, Handler handler) {
+        inFlight.incrementAndGet();
         try (CallerExchange exchange = CallerExchange.of(http)) {
             try {
                 handler.handle(exchange);
@@ -69,6 +77,8 @@
             }
         } catch (IOException e) {
             LOG.log(Level.DEBUG, "[http] The caller left: {0}", e.getMessage());
+        } finally {
+            inFlight.decrementAndGet();
         }
     }
 
--- a/src/main/java/org/jujuberouter/entry/CompletionsHandler.java
+++ b/src/main/java/org/jujuberouter/entry/CompletionsHandler.java
@@ -1,75 +1,121 @@
 package org.jujuberouter.entry;
 
 import java.io.IOException;
-import org.jujuberouter.engine.EngineCall;
-import org.jujuberouter.engine.EngineClient;
-import org.jujuberouter.engine.EngineEvent;
-import org.jujuberouter.engine.EngineException;
-import org.jujuberouter.engine.EngineStream;
+import java.util.Optional;
+import org.jujuberouter.admission.Lane;
 import org.jujuberouter.error.ErrorKind;
 import org.jujuberouter.error.JujuberouterException;
-import org.jujuberouter.id.RequestId;
-import org.jujuberouter.platform.ListedMember;
+import org.jujuberouter.error.Outcome;
+import org.jujuberouter.id.CustomerId;
+import org.jujuberouter.id.ServiceName;
+import org.jujuberouter.limits.LimitDecision;
+import org.jujuberouter.limits.LimitKey;
+import org.jujuberouter.limits.LimitUse;
+import org.jujuberouter.outcome.CallKind;
+import org.jujuberouter.outcome.Deadline;
+import org.jujuberouter.outcome.RequestLifecycle;
+import org.jujuberouter.quarantine.Standing;
+import org.jujuberouter.routing.Placement;
+import org.jujuberouter.routing.PromptBlocks;
+import org.jujuberouter.routing.RouteRequest;
+import org.jujuberouter.settings.SettingTarget;
+import org.jujuberouter.settings.Settings;
 
-/** Serves the completions protocol: one attempt at the endpoint with the fewest requests of this instance. */
+/** Serves the completions protocol: checks the request against settings and limits, then runs it. */
 final class CompletionsHandler implements CallerHttp.Handler {
     private final boolean chat;
     private final CallerGate gate;
-    private final EndpointDirectory directory;
-    private final EngineClient engines;
-    private final InFlight inFlight;
+    private final InstanceRuntime runtime;
+    private final EntryMetrics metrics;
 
-    private CompletionsHandler(
-            boolean chat, CallerGate gate, EndpointDirectory directory, EngineClient engines, InFlight inFlight) {
+    private CompletionsHandler(boolean chat, CallerGate gate, InstanceRuntime runtime, EntryMetrics metrics) {
         this.chat = chat;
         this.gate = gate;
-        this.directory = directory;
-        this.engines = engines;
-        this.inFlight = inFlight;
+        this.runtime = runtime;
+        this.metrics = metrics;
     }
 
-    static CompletionsHandler create(
-            boolean chat, CallerGate gate, EndpointDirectory directory, EngineClient engines, InFlight inFlight) {
-        return new CompletionsHandler(chat, gate, directory, engines, inFlight);
+    static CompletionsHandler create(boolean chat, CallerGate gate, InstanceRuntime runtime, EntryMetrics metrics) {
+        return new CompletionsHandler(chat, gate, runtime, metrics);
     }
 
     @Override
     public void handle(CallerExchange exchange) throws JujuberouterException, IOException {
         CallerGate.Entered entered = gate.enter(exchange, "POST");
         CompletionCall call = CompletionCall.parse(chat, entered.body());
-        ListedMember endpoint = inFlight.least(directory.endpoints(ListedMember.Role.ENGINE))
-                .orElseThrow(() -> JujuberouterException.notRun(
-                        ErrorKind.NO_CAPACITY, call.model().value()));
-        inFlight.add(endpoint.name(), 1);
-        EngineCall engineCall = EngineCall.of(entered.id(), call.path(), call.engineBody(), 0, entered.timeLeft());
-        try (EngineStream stream = engines.submit(endpoint.address(), engineCall)) {
-            relay(exchange, call, entered.id(), stream);
-        } catch (EngineException e) {
-            throw failure(endpoint, e);
+        ServiceName service = serviceOf(call);
+        RequestObserver observer = RequestObserver.of(runtime.ticker, entered.arrivedNanos());
+        Outcome outcome = Outcome.NOT_RUN;
+        LimitUse use = admit(entered.customer(), service, call);
+        try (AutoCloseableGuard _ = exchange.closeAt(entered)) {
+            run(exchange, entered, call, service, observer);
+            outcome = Outcome.COMPLETED;
+        } catch (JujuberouterException e) {
+            outcome = e.outcome();
+            throw e;
+        } catch (IOException e) {
+            outcome = Outcome.MAY_HAVE_RUN;
+            throw e;
         } finally {
-            inFlight.add(endpoint.name(), -1);
+            use.ended(unused(call, observer, outcome));
+            metrics.completion(service, entered, call, observer, outcome);
         }
     }
 
-    private static void relay(CallerExchange exchange, CompletionCall call, RequestId id, EngineStream stream)
-            throws IOException, EngineException {
-        AnswerWriter writer = AnswerWriter.of(exchange, call, id);
-        while (true) {
-            switch (stream.next()) {
-                case EngineEvent.Chunk chunk -> writer.write(chunk.text(), chunk.tokens(), chunk.finishReason());
-                case EngineEvent.Failure failure ->
-                    throw EngineException.broken("engine", new IOException(failure.message()));
-                case EngineEvent.End _ -> {
-                    writer.finish();
-                    return;
-                }
-            }
+    private void run(
+            CallerExchange exchange,
+            CallerGate.Entered entered,
+            CompletionCall call,
+            ServiceName service,
+            RequestObserver observer)
+            throws JujuberouterException, IOException {
+        if (runtime.evidence.standing(call.fingerprint()) == Standing.CONVICTED) {
+            throw JujuberouterException.notRun(ErrorKind.QUARANTINED);
         }
+        RouteRequest route = RouteRequest.of(
+                Placement.of(service, call.model(), "", ""),
+                call.promptTokens(),
+                call.maxTokens(),
+                PromptBlocks.ofText(call.prompt()));
+        double weight = runtime.settings
+                .settings()
+                .number(new SettingTarget.ServiceCustomer(service, entered.customer()), "weight");
+        Deadline deadline = new Deadline(runtime.ticker, entered.deadlineNanos());
+        InferenceRun.Admitted admitted = new InferenceRun.Admitted(entered, route, weight, deadline);
+        RequestLifecycle lifecycle = RequestLifecycle.of(CallKind.IDEMPOTENT, deadline, runtime.retries);
+        AnswerWriter writer = AnswerWriter.of(exchange, call, entered.id());
+        try {
+            InferenceRun.of(runtime, call, admitted, lifecycle, writer, observer)
+                    .run();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw JujuberouterException.mayHaveRun(ErrorKind.STOPPING, e);
+        }
+    }
+
+    /** A request that did not run used nothing of its limits; one that ran used its prompt and what was generated. */
+    private static long unused(CompletionCall call, RequestObserver observer, Outcome outcome) {
+        return outcome == Outcome.NOT_RUN ? call.totalTokens() : Math.max(0, call.maxTokens() - observer.tokens());
+    }
+
+    private ServiceName serviceOf(CompletionCall call) throws JujuberouterException {
+        Settings settings = runtime.settings.settings();
+        Optional<ServiceName> service = settings.services().stream()
+                .filter(s -> settings.models(s).contains(call.model()))
+                .findFirst();
+        return service.orElseThrow(() -> JujuberouterException.badParameter(
+                ErrorKind.UNKNOWN_MODEL, "model", call.model().value()));
     }
 
-    private static JujuberouterException failure(ListedMember endpoint, EngineException e) {
-        return e.progress() == EngineException.Progress.SENT
-                ? JujuberouterException.mayHaveRun(ErrorKind.ENDPOINT_FAILED, e, endpoint.name(), e.getMessage())
-                : JujuberouterException.notRun(ErrorKind.ENDPOINT_FAILED, endpoint.name(), e.getMessage());
+    private LimitUse admit(CustomerId customer, ServiceName service, CompletionCall call) throws JujuberouterException {
+        boolean isLong = Lane.of(call.promptTokens()) == Lane.LONG;
+        return switch (runtime.limits.admit(LimitKey.of(customer, service), call.totalTokens(), isLong)) {
+            case LimitDecision.Admitted admitted -> admitted.use();
+            case LimitDecision.Refused refused ->
+                throw JujuberouterException.notRun(
+                        ErrorKind.LIMIT_EXCEEDED,
+                        customer.value(),
+                        refused.limit().text());
+        };
     }
 }
--- /dev/null
+++ b/src/main/java/org/jujuberouter/entry/EngineReader.java
@@ -0,0 +1,252 @@
+package org.jujuberouter.entry;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import org.jujuberouter.engine.EngineCall;
+import org.jujuberouter.engine.EngineClient;
+import org.jujuberouter.engine.EngineEvent;
+import org.jujuberouter.engine.EngineException;
+import org.jujuberouter.engine.EngineStream;
+import org.jujuberouter.memory.MemoryDecision;
+import org.jujuberouter.memory.StreamAccount;
+import org.jujuberouter.misc.Ticker;
+import org.jujuberouter.outcome.Deadline;
+import org.jujuberouter.stream.AnswerStream;
+import org.jujuberouter.stream.StreamDecision;
+
+/**
+ * Reads one engine connection on a virtual thread of its own and puts what comes into the queue of the request.
+ *
+ * <p>Bytes are reserved before they are queued, so the queue cannot outgrow the bounds. At a bound the reader stops
+ * reading, which holds the engine back through TCP. When that lasts, it closes the connection, and resumes at its own
+ * offset once the caller has drained what is held.
+ */
+final class EngineReader implements Runnable {
+    private static final Logger LOG = System.getLogger(EngineReader.class.getName());
+
+    /** What a chunk costs in memory besides its text. */
+    private static final int CHUNK_OVERHEAD = 128;
+
+    private static final int MAX_PIECE = 4 * 1024;
+
+    private final EngineClient engines;
+    private final String address;
+    private final EngineCall call;
+    private final Deadline deadline;
+    private final AnswerStream answer;
+    private final StreamAccount account;
+    private final Semaphore wake;
+    private final BlockingQueue<Event> queue;
+    private final Ticker ticker;
+    private volatile boolean abandoned;
+    private volatile EngineStream stream;
+    private boolean resuming;
+    private long offset;
+    private int pendingBytes;
+
+    private EngineReader(Source source, EngineCall call, boolean resuming, long offset) {
+        this.engines = source.engines();
+        this.address = source.address();
+        this.deadline = source.deadline();
+        this.answer = source.answer();
+        this.account = source.account();
+        this.wake = source.wake();
+        this.queue = source.queue();
+        this.ticker = source.ticker();
+        this.call = call;
+        this.resuming = resuming;
+        this.offset = offset;
+    }
+
+    /** What the connections of one attempt share. */
+    record Source(
+            EngineClient engines,
+            String address,
+            Deadline deadline,
+            AnswerStream answer,
+            StreamAccount account,
+            Semaphore wake,
+            BlockingQueue<Event> queue,
+            Ticker ticker) {}
+
+    /** What a reader puts into the queue. */
+    sealed interface Event {
+        /** Returns the reader it comes from. */
+        EngineReader reader();
+
+        /** The engine began to answer. */
+        record Opened(EngineReader reader) implements Event {}
+
+        /** A piece arrived; the bytes were reserved. */
+        record Piece(EngineReader reader, EngineEvent.Chunk chunk, int bytes) implements Event {}
+
+        /** The engine's final event arrived. */
+        record Ended(EngineReader reader, long length) implements Event {}
+
+        /** The engine was asked about the request on another connection. */
+        record Probed(EngineReader reader, StreamDecision decision) implements Event {}
+
+        /** The connection failed. */
+        record Failed(EngineReader reader, EngineException cause) implements Event {}
+    }
+
+    /** Sends the call and reads its answer. */
+    static EngineReader submit(Source source, EngineCall call) {
+        return start(new EngineReader(source, call, false, 0));
+    }
+
+    /** Resumes a call that the engine already runs. */
+    static EngineReader resume(Source source, EngineCall call, long offset) {
+        return start(new EngineReader(source, call, true, offset));
+    }
+
+    private static EngineReader start(EngineReader reader) {
+        Thread.ofVirtual().name("engine-read-" + reader.call.attempt()).start(reader);
+        return reader;
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (!abandoned) {
+                if (readConnection()) {
+                    return;
+                }
+                awaitRoom();
+                resuming = true;
+            }
+        } catch (EngineException e) {
+            queue.add(new Event.Failed(this, e));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            closeStream();
+        }
+    }
+
+    /** Gives this connection up from another thread. */
+    void abandon() {
+        abandoned = true;
+        wake.release();
+        closeStream();
+    }
+
+    private void closeStream() {
+        EngineStream open = stream;
+        if (open != null) {
+            open.close();
+        }
+    }
+
+    /** Reads until the end; returns false when the connection was closed for want of memory. */
+    private boolean readConnection() throws EngineException, InterruptedException {
+        stream = resuming
+                ? engines.resume(
+                        address, call.attempt(), offset, deadline.remaining().plusMillis(1))
+                : engines.submit(address, call);
+        if (abandoned) {
+            return true;
+        }
+        queue.add(new Event.Opened(this));
+        while (!abandoned) {
+            switch (stream.next()) {
+                case EngineEvent.Chunk chunk -> {
+                    if (!take(chunk)) {
+                        closeStream();
+                        return false;
+                    }
+                }
+                case EngineEvent.End _ -> {
+                    queue.add(new Event.Ended(this, offset));
+                    return true;
+                }
+                case EngineEvent.Failure failure -> throw EngineException.failed(address, 200, failure.message());
+            }
+        }
+        return true;
+    }
+
+    /** Queues a chunk in pieces that can be reserved at once; returns false when the connection is to be closed. */
+    private boolean take(EngineEvent.Chunk chunk) throws InterruptedException {
+        String text = chunk.text();
+        int from = 0;
+        do {
+            int to = Math.min(text.length(), from + MAX_PIECE);
+            boolean last = to == text.length();
+            EngineEvent.Chunk piece = from == 0 && last
+                    ? chunk
+                    : new EngineEvent.Chunk(
+                            chunk.attempt(),
+                            chunk.offset() + from,
+                            last ? chunk.tokens() : 0,
+                            text.substring(from, to),
+                            last ? chunk.finishReason() : null);
+            int bytes = piece.text().getBytes(StandardCharsets.UTF_8).length + CHUNK_OVERHEAD;
+            if (!reserve(bytes)) {
+                return false;
+            }
+            if (chunk.attempt().equals(call.attempt())) {
+                offset = Math.max(offset, piece.offset() + piece.text().length());
+            }
+            queue.add(new Event.Piece(this, piece, bytes));
+            from = to;
+        } while (from < text.length());
+        return true;
+    }
+
+    /** Waits for room; returns false when the wait was so long that the connection is to be closed. */
+    private boolean reserve(int bytes) throws InterruptedException {
+        MemoryDecision decision = account.reserve(bytes);
+        if (decision instanceof MemoryDecision.Accept) {
+            return true;
+        }
+        answer.pause();
+        while (!abandoned) {
+            switch (decision) {
+                case MemoryDecision.Accept _ -> {
+                    answer.unpause();
+                    return true;
+                }
+                case MemoryDecision.Pause pause -> awaitWake(pause.untilNanos());
+                case MemoryDecision.Detach _ -> {
+                    LOG.log(Level.DEBUG, "[memory] Detached from {0}: the caller reads slowly.", call.attempt());
+                    pendingBytes = bytes;
+                    return false;
+                }
+                case MemoryDecision.Closed _ -> {
+                    abandoned = true;
+                    return false;
+                }
+            }
+            decision = account.check();
+        }
+        return false;
+    }
+
+    /** Waits after a detachment until the caller has drained, then gives the reservation back: the chunk comes again. */
+    private void awaitRoom() throws InterruptedException {
+        while (!abandoned) {
+            switch (account.check()) {
+                case MemoryDecision.Accept _ -> {
+                    account.release(pendingBytes);
+                    answer.unpause();
+                    return;
+                }
+                case MemoryDecision.Closed _ -> abandoned = true;
+                case MemoryDecision.Pause pause -> awaitWake(pause.untilNanos());
+                case MemoryDecision.Detach _ -> awaitWake(Long.MAX_VALUE);
+            }
+        }
+    }
+
+    private void awaitWake(long untilNanos) throws InterruptedException {
+        long left = Math.min(TimeUnit.SECONDS.toNanos(1), Math.max(1_000_000L, untilNanos - ticker.nanos()));
+        if (wake.tryAcquire(left, TimeUnit.NANOSECONDS)) {
+            wake.drainPermits();
+        }
+    }
+}
--- a/src/main/java/org/jujuberouter/entry/EntryDaemon.java
+++ b/src/main/java/org/jujuberouter/entry/EntryDaemon.java
@@ -6,48 +6,71 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
-import org.jujuberouter.engine.EngineClient;
-import org.jujuberouter.engine.PlainClient;
+import java.util.function.Supplier;
+import org.jujuberouter.admission.EndpointBook;
 import org.jujuberouter.error.ErrorKind;
 import org.jujuberouter.error.JujuberouterException;
 import org.jujuberouter.id.CustomerId;
-import org.jujuberouter.id.Incarnation;
+import org.jujuberouter.id.ServiceName;
+import org.jujuberouter.membership.Membership;
 import org.jujuberouter.misc.Json;
-import org.jujuberouter.misc.Ticker;
-import org.jujuberouter.platform.HttpInstanceList;
-import org.jujuberouter.platform.InstanceList;
-import org.jujuberouter.platform.PlatformException;
+import org.jujuberouter.ownership.Ownership;
+import org.jujuberouter.settings.SettingTarget;
+import org.jujuberouter.settings.Settings;
 
-/** One entry instance: it serves callers until it is closed. */
+/**
+ * One entry instance: it serves callers until it is closed.
+ *
+ * <p>A planned stop refuses new work, lets work in flight finish, hands over the endpoints that the instance owns, and ends
+ * its lease, in this order.
+ */
 public final class EntryDaemon implements AutoCloseable {
     private static final Logger LOG = System.getLogger(EntryDaemon.class.getName());
-    private static final long LIST_INTERVAL_MS = 500;
+    private static final Duration LIST_PERIOD = Duration.ofMillis(500);
+    private static final Duration SETTLE_PERIOD = Duration.ofSeconds(1);
+    private static final Duration HELD_REPORT_PERIOD = Duration.ofSeconds(2);
+    private static final Duration EXPIRE_PERIOD = Duration.ofSeconds(5);
+    private static final Duration STOP_POLL = Duration.ofMillis(50);
+
+    /** Ownership ticks every 250 ms; a store that is away must not hold up the stop for long. */
+    private static final Duration HANDOVER_TIMEOUT = Duration.ofSeconds(5);
 
     private final EntryOptions options;
-    private final EndpointDirectory directory = EndpointDirectory.empty();
-    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
     private final CallerHttp http;
+    private final InstanceRuntime runtime;
+    private final EntryMetrics metrics = EntryMetrics.create();
+    private final List<Thread> loops = new ArrayList<>();
     private volatile boolean stopping;
-    private volatile boolean listed;
+    private volatile boolean closed;
 
-    private EntryDaemon(EntryOptions options, CallerHttp http) {
+    private EntryDaemon(EntryOptions options, CallerHttp http, InstanceRuntime runtime) {
         this.options = options;
         this.http = http;
+        this.runtime = runtime;
     }
 
     /** Starts an instance. */
     public static EntryDaemon start(EntryOptions options) throws IOException {
-        EntryDaemon daemon = new EntryDaemon(options, CallerHttp.bind(options.listen()));
-        daemon.routes();
-        InstanceList list = HttpInstanceList.at(options.list());
-        daemon.timer.scheduleWithFixedDelay(() -> daemon.refresh(list), 0, LIST_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        EntryDaemon daemon =
+                new EntryDaemon(options, CallerHttp.bind(options.listen()), InstanceRuntime.create(options));
+        daemon.route();
+        daemon.gauges();
+        daemon.startLoops();
         daemon.http.start();
-        LOG.log(Level.INFO, "[entry] Instance {0} listens at {1}.", options.instance(), daemon.address());
+        LOG.log(
+                Level.INFO,
+                "[entry] Instance {0} listens at {1}, for peers at {2}.",
+                options.instance(),
+                daemon.address(),
+                daemon.peerAddress());
         return daemon;
     }
 
@@ -56,42 +79,88 @@
         return http.address();
     }
 
-    private void refresh(InstanceList list) {
-        try {
-            directory.replace(list.read());
-            listed = true;
-        } catch (PlatformException e) {
-            LOG.log(Level.WARNING, "[entry] The list did not answer: {0}", e.getMessage());
-        }
+    /** Returns where other instances connect. */
+    public InetSocketAddress peerAddress() {
+        return runtime.peerAddress();
     }
 
-    private void routes() {
-        Ticker ticker = Ticker.system();
-        Incarnation self = Incarnation.of(options.instance(), System.currentTimeMillis());
-        CallerGate gate = CallerGate.create(self, ticker, options.maxBodyBytes(), new Policy());
-        EngineClient engines = EngineClient.create();
-        InFlight inFlight = InFlight.empty();
-        http.route(
-                CompletionCall.COMPLETIONS_PATH, CompletionsHandler.create(false, gate, directory, engines, inFlight));
-        http.route(CompletionCall.CHAT_PATH, CompletionsHandler.create(true, gate, directory, engines, inFlight));
-        http.route(ServicesHandler.PREFIX, ServicesHandler.create(gate, directory, PlainClient.create(), inFlight));
+    private void startLoops() {
+        loop("settings", runtime::followSettings);
+        every("list", LIST_PERIOD, runtime::readList);
+        every("ownership", Ownership.TICK_PERIOD, runtime::tickOwnership);
+        every("membership", Membership.HEARTBEAT_PERIOD, runtime::tickMembership);
+        every("heartbeat", Membership.HEARTBEAT_PERIOD, runtime::sendHeartbeat);
+        every("endpoints", EndpointMonitor.PERIOD, runtime::askEndpoints);
+        every("permits", EndpointBook.TICK_PERIOD, runtime.desk::tick);
+        every("held-permits", HELD_REPORT_PERIOD, runtime::reportHeldPermits);
+        every("once-records", SETTLE_PERIOD, runtime.once::settle);
+        every("expiry", EXPIRE_PERIOD, runtime.consent::expire);
+        Thread.ofVirtual().name("convictions").start(runtime::readConvictions);
+    }
+
+    private void every(String name, Duration period, Runnable step) {
+        loop(name, () -> {
+            step.run();
+            return period;
+        });
+    }
+
+    private void loop(String name, Supplier<Duration> step) {
+        loops.add(Thread.ofVirtual().name(name).start(() -> {
+            while (!closed) {
+                Duration pause = Duration.ofSeconds(1);
+                try {
+                    pause = step.get();
+                } catch (RuntimeException e) {
+                    LOG.log(Level.ERROR, "[entry] Task " + name + " failed and starts again.", e);
+                }
+                try {
+                    Thread.sleep(pause);
+                } catch (InterruptedException e) {
+                    return;
+                }
+            }
+        }));
+    }
+
+    private void route() {
+        CallerGate gate = CallerGate.create(runtime::self, runtime.ticker, options.maxBodyBytes(), new Policy());
+        http.route(CompletionCall.COMPLETIONS_PATH, CompletionsHandler.create(false, gate, runtime, metrics));
+        http.route(CompletionCall.CHAT_PATH, CompletionsHandler.create(true, gate, runtime, metrics));
+        http.route(ServicesHandler.PREFIX, ServicesHandler.create(gate, runtime, metrics));
         http.route("/v1/models", this::models);
         http.route(
                 "/healthz", e -> e.sendJson(200, Json.MAPPER.createObjectNode().put("status", "ok")));
         http.route("/readyz", this::ready);
+        http.route(
+                "/metrics",
+                e -> e.send(200, "text/plain; version=0.0.4", metrics.render().getBytes(StandardCharsets.UTF_8)));
         http.route("/", e -> {
             throw JujuberouterException.notRun(ErrorKind.UNKNOWN_PATH, e.path());
         });
     }
 
+    private void gauges() {
+        metrics.gauge("held_bytes", runtime.memory::heldBytes);
+        metrics.gauge("open_streams", () -> (long) runtime.memory.openStreams());
+        metrics.gauge("requests_in_flight", () -> (long) http.inFlight());
+        metrics.gauge("settings_version", runtime.settings::version);
+        metrics.gauge("owned_endpoints", () -> (long) runtime.ownership.owned().size());
+        metrics.gauge("live_instances", () -> (long) runtime.membership.live().size());
+        metrics.gauge("marked_requests", () -> (long) runtime.evidence.size());
+    }
+
     private void models(CallerExchange exchange) throws IOException {
         ObjectNode body = Json.MAPPER.createObjectNode().put("object", "list");
         ArrayNode data = body.putArray("data");
-        directory.all().stream()
-                .filter(m -> m.role() == org.jujuberouter.platform.ListedMember.Role.ENGINE)
-                .map(m -> m.service())
-                .distinct()
-                .forEach(s -> data.addObject().put("id", s).put("object", "model"));
+        Settings settings = runtime.settings.settings();
+        for (ServiceName service : settings.services()) {
+            settings.models(service)
+                    .forEach(m -> data.addObject()
+                            .put("id", m.value())
+                            .put("object", "model")
+                            .put("owned_by", service.value()));
+        }
         exchange.sendJson(200, body);
     }
 
@@ -106,31 +175,66 @@
             if (stopping) {
                 throw JujuberouterException.notRun(ErrorKind.STOPPING);
             }
-            if (!listed) {
-                throw JujuberouterException.notRun(ErrorKind.NOT_READY, "the list of endpoints was not read yet");
+            Optional<String> reason = runtime.notReady();
+            if (reason.isPresent()) {
+                throw JujuberouterException.notRun(ErrorKind.NOT_READY, reason.get());
             }
         }
 
         @Override
         public Optional<CustomerId> customerOf(String key) {
-            return key.isBlank() ? Optional.empty() : Optional.of(CustomerId.of(key));
+            try {
+                byte[] hash = MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
+                return runtime.settings
+                        .settings()
+                        .customerByKeyHash(HexFormat.of().formatHex(hash));
+            } catch (NoSuchAlgorithmException e) {
+                throw new IllegalStateException("every JDK has SHA-256", e);
+            }
         }
 
         @Override
-        public Duration defaultDeadline() {
-            return Duration.ofSeconds(60);
+        public Duration defaultDeadline(CustomerId customer) {
+            return millis(customer, "deadline.default-ms");
         }
 
         @Override
-        public Duration maxDeadline() {
-            return Duration.ofMinutes(15);
+        public Duration maxDeadline(CustomerId customer) {
+            return millis(customer, "deadline.max-ms");
+        }
+
+        private Duration millis(CustomerId customer, String setting) {
+            return Duration.ofMillis(
+                    runtime.settings.settings().integer(new SettingTarget.Customer(customer), setting));
         }
     }
 
     @Override
     public void close() {
+        if (stopping) {
+            return;
+        }
         stopping = true;
-        timer.shutdownNow();
+        LOG.log(Level.INFO, "[entry] Stopping: {0} requests in flight.", http.inFlight());
+        await(options.drainTimeout(), () -> http.inFlight() == 0);
+        runtime.beginLeaving();
+        await(HANDOVER_TIMEOUT, runtime::hasHandedOver);
+        closed = true;
+        loops.forEach(Thread::interrupt);
+        runtime.once.settle();
         http.close();
+        runtime.close();
+        LOG.log(Level.INFO, "[entry] Stopped.");
+    }
+
+    private static void await(Duration longest, Supplier<Boolean> condition) {
+        long end = System.nanoTime() + longest.toNanos();
+        try {
+            while (!condition.get() && System.nanoTime() < end) {
+                Thread.sleep(STOP_POLL);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
--- a/src/main/java/org/jujuberouter/entry/EntryOptions.java
+++ b/src/main/java/org/jujuberouter/entry/EntryOptions.java
@@ -26,4 +26,17 @@
         URI store,
         URI list,
         int maxBodyBytes,
-        Duration drainTimeout) {}
+        Duration drainTimeout) {
+    /** Parses host and port. */
+    public static InetSocketAddress parseAddress(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0) {
+            throw new IllegalArgumentException("\"" + text + "\" is not an address of the form HOST:PORT");
+        }
+        try {
+            return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("\"" + text + "\" has no port number", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/entry/PermitWire.java
@@ -0,0 +1,160 @@
+package org.jujuberouter.entry;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.jujuberouter.admission.Decision;
+import org.jujuberouter.admission.Lane;
+import org.jujuberouter.admission.Permit;
+import org.jujuberouter.admission.PermitEnd;
+import org.jujuberouter.admission.PermitRequest;
+import org.jujuberouter.admission.Refusal;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.Incarnation;
+import org.jujuberouter.id.RequestId;
+import org.jujuberouter.misc.Ticker;
+import org.jujuberouter.peer.PeerMessage;
+
+/** Translates between the permits of the admission package and the messages between instances. */
+final class PermitWire {
+    private static final String WAITING = "waiting";
+    private static final RequestId UNNAMED = RequestId.of("unnamed");
+
+    private PermitWire() {}
+
+    static PeerMessage.PermitRequest toMessage(EndpointId endpoint, PermitRequest r, Ticker ticker) {
+        long left = Math.max(0, (r.deadlineNanos() - ticker.nanos()) / 1_000_000L);
+        return new PeerMessage.PermitRequest(
+                0,
+                r.id(),
+                new PeerMessage.AtEndpoint(endpoint),
+                r.tokens(),
+                r.tokens(),
+                r.lane().name(),
+                r.customer(),
+                r.weight(),
+                r.fingerprint(),
+                left,
+                r.runsAlone());
+    }
+
+    /** Returns the request of a peer, or empty when it names no lane of this version. */
+    static Optional<PermitRequest> fromMessage(PeerMessage.PermitRequest m, Incarnation sender, Ticker ticker) {
+        return lane(m.lane())
+                .map(lane -> new PermitRequest(
+                        m.request(),
+                        RunId.parse(m.request()).map(RunId::holder).orElse(sender),
+                        m.customer(),
+                        Math.max(0.01, m.weight()),
+                        lane,
+                        m.totalTokens(),
+                        m.fingerprint(),
+                        m.runsAlone(),
+                        ticker.nanos() + Duration.ofMillis(m.deadlineMillis()).toNanos()));
+    }
+
+    static PeerMessage.Decision toMessage(EndpointId endpoint, Decision decision, String crashId) {
+        return switch (decision) {
+            case Decision.Granted g ->
+                new PeerMessage.Granted(
+                        g.permit().serial(), endpoint, g.permit().fence(), Permit.LIFE.toMillis(), crashId);
+            case Decision.Waiting _ -> new PeerMessage.Refused(WAITING, Optional.empty(), 0);
+            case Decision.Refused r ->
+                new PeerMessage.Refused(
+                        code(r.reason()), r.reason() instanceof Refusal.NotOwner n ? n.hint() : Optional.empty(), 0);
+        };
+    }
+
+    static Decision fromMessage(PeerMessage.Decision m, PermitRequest request, Ticker ticker) {
+        return switch (m) {
+            case PeerMessage.Granted g ->
+                new Decision.Granted(new Permit(request, g.fencingNumber(), g.permitId(), ticker.nanos()));
+            case PeerMessage.Refused r when r.reason().equals(WAITING) -> new Decision.Waiting();
+            case PeerMessage.Refused r -> new Decision.Refused(refusal(r));
+        };
+    }
+
+    private static String code(Refusal refusal) {
+        return switch (refusal) {
+            case Refusal.NotOwner _ -> "not-owner";
+            case Refusal.Drained _ -> "drained";
+            case Refusal.Leaving _ -> "leaving";
+            case Refusal.NotReporting _ -> "not-reporting";
+            case Refusal.NoShare _ -> "no-share";
+            case Refusal.DeadlineUnreachable _ -> "deadline";
+            case Refusal.TooLarge _ -> "too-large";
+            case Refusal.IdenticalRunning _ -> "identical-running";
+            case Refusal.MarkedRunning _ -> "marked-running";
+            case Refusal.QueueFull _ -> "queue-full";
+        };
+    }
+
+    private static Refusal refusal(PeerMessage.Refused r) {
+        return switch (r.reason()) {
+            case "not-owner" -> new Refusal.NotOwner(r.ownerHint());
+            case "drained" -> new Refusal.Drained();
+            case "leaving" -> new Refusal.Leaving();
+            case "no-share" -> new Refusal.NoShare();
+            case "deadline" -> new Refusal.DeadlineUnreachable(0);
+            case "too-large" -> new Refusal.TooLarge(0);
+            case "identical-running" -> new Refusal.IdenticalRunning(UNNAMED);
+            case "marked-running" -> new Refusal.MarkedRunning(Optional.empty());
+            case "queue-full" -> new Refusal.QueueFull();
+            default -> new Refusal.NotReporting();
+        };
+    }
+
+    static PeerMessage.Ending toMessage(PermitEnd end) {
+        return switch (end) {
+            case COMPLETED -> PeerMessage.Ending.FINISHED;
+            case NOT_SENT -> PeerMessage.Ending.UNUSED;
+            case ABANDONED -> PeerMessage.Ending.CANCELLED;
+            case FAILED -> PeerMessage.Ending.FAILED;
+        };
+    }
+
+    static PermitEnd fromMessage(PeerMessage.Ending ending) {
+        return switch (ending) {
+            case FINISHED -> PermitEnd.COMPLETED;
+            case UNUSED -> PermitEnd.NOT_SENT;
+            case CANCELLED -> PermitEnd.ABANDONED;
+            case FAILED, CRASHED -> PermitEnd.FAILED;
+        };
+    }
+
+    static PeerMessage.HeldPermit toMessage(PermitRequest r, long serial) {
+        return new PeerMessage.HeldPermit(
+                serial, r.id(), r.holder(), r.tokens(), r.tokens(), r.lane().name(), r.customer(), r.fingerprint());
+    }
+
+    /** Returns held permits; the deadline is the longest possible, because it is not sent. */
+    static List<Permit> fromMessage(List<PeerMessage.HeldPermit> permits, long fence, Ticker ticker) {
+        long later = ticker.nanos() + Duration.ofHours(1).toNanos();
+        return permits.stream()
+                .flatMap(p -> lane(p.lane()).stream()
+                        .map(lane -> new Permit(
+                                new PermitRequest(
+                                        p.request(),
+                                        p.holder(),
+                                        p.customer(),
+                                        1,
+                                        lane,
+                                        p.totalTokens(),
+                                        p.fingerprint(),
+                                        false,
+                                        later),
+                                fence,
+                                p.permitId(),
+                                ticker.nanos())))
+                .toList();
+    }
+
+    private static Optional<Lane> lane(String name) {
+        for (Lane lane : Lane.values()) {
+            if (lane.name().equals(name)) {
+                return Optional.of(lane);
+            }
+        }
+        return Optional.empty();
+    }
+}
--- a/src/main/java/org/jujuberouter/experiment/RouterPolicy.java
+++ b/src/main/java/org/jujuberouter/experiment/RouterPolicy.java
@@ -43,6 +43,7 @@
             case STORED -> router.cacheStored(endpoint, event.sequence(), event.blocks());
             case EVICTED -> router.cacheEvicted(endpoint, event.sequence(), event.blocks());
             case CLEARED -> router.cacheCleared(endpoint, event.sequence());
+            default -> throw new IllegalStateException("unknown cache event " + event.kind());
         }
     }
 }
--- a/src/main/java/org/jujuberouter/peer/FieldWriter.java
+++ b/src/main/java/org/jujuberouter/peer/FieldWriter.java
@@ -52,8 +52,9 @@
             case PermitReply m ->
                 type(PeerCodec.PERMIT_REPLY, 2).number(m.callId()).decision(m.decision());
             case PermitRelease m ->
-                type(PeerCodec.PERMIT_RELEASE, 4)
+                type(PeerCodec.PERMIT_RELEASE, 5)
                         .number(m.permitId())
+                        .number(m.fencingNumber())
                         .text(m.endpoint())
                         .text(m.request())
                         .number(m.ending().ordinal());
@@ -81,7 +82,7 @@
                         .text(m.fingerprint())
                         .text(m.run())
                         .number(m.ending().ordinal())
-                        .textOrNil(m.endpoint().orElse(null));
+                        .textOrNil(m.crashId().orElse(null));
             case SettingsPull m -> type(PeerCodec.SETTINGS_PULL, 1).number(m.version());
             case SettingsPush m -> {
                 PeerCodec.requireBound("size of the document", m.document().length, PeerCodec.MAX_DOCUMENT_BYTES);
@@ -136,8 +137,13 @@
         }
         list("demand", PeerCodec.MAX_DEMAND, m.demand());
         for (DemandDigest d : m.demand()) {
-            out.packArrayHeader(3);
-            text(d.customer()).real(d.requestsPerSecond()).real(d.tokensPerSecond());
+            out.packArrayHeader(6);
+            text(d.customer())
+                    .text(d.service())
+                    .real(d.requestsPerSecond())
+                    .real(d.tokensPerSecond())
+                    .number(d.activeLong())
+                    .number(d.refusedLong());
         }
         out.packBoolean(m.leaving());
     }
@@ -191,20 +197,22 @@
     }
 
     private void decision(Decision decision) throws IOException, PeerException {
-        out.packArrayHeader(5);
+        out.packArrayHeader(6);
         switch (decision) {
             case Granted g ->
                 number(PeerCodec.GRANTED)
                         .number(g.permitId())
                         .text(g.endpoint())
                         .number(g.fencingNumber())
-                        .number(g.validMillis());
+                        .number(g.validMillis())
+                        .text(g.crashId());
             case Refused r -> {
                 number(PeerCodec.REFUSED)
                         .text(r.reason())
                         .textOrNil(r.ownerHint().orElse(null))
                         .number(r.retryAfterMillis());
                 out.packNil();
+                out.packNil();
             }
         }
     }
--- a/src/main/java/org/jujuberouter/peer/PeerCodec.java
+++ b/src/main/java/org/jujuberouter/peer/PeerCodec.java
@@ -140,7 +140,7 @@
             case PERMIT_REQUEST -> body(in, "PermitRequest", fields, 11, PeerCodec::permitRequest);
             case PERMIT_REPLY ->
                 body(in, "PermitReply", fields, 2, r -> new PermitReply(r.number("call id"), decision(r)));
-            case PERMIT_RELEASE -> body(in, "PermitRelease", fields, 4, PeerCodec::permitRelease);
+            case PERMIT_RELEASE -> body(in, "PermitRelease", fields, 5, PeerCodec::permitRelease);
             case HANDOVER -> body(in, "Handover", fields, 3, PeerCodec::handover);
             case CRASH_NOTICE -> body(in, "CrashNotice", fields, 3, PeerCodec::crashNotice);
             case SETTINGS_PULL -> body(in, "SettingsPull", fields, 1, r -> new SettingsPull(r.number("version")));
@@ -210,7 +210,7 @@
                                 r.id("fingerprint", Fingerprint::of),
                                 r.id("run", RequestId::of),
                                 value(r, RunEnding.values()),
-                                r.optionalId("endpoint", EndpointId::of)));
+                                r.optionalId("crash id", t -> t)));
             default -> throw PeerException.of(Kind.UNKNOWN_TYPE, type);
         };
     }
@@ -254,7 +254,7 @@
         long version = in.number("settings version");
         List<EndpointDigest> endpoints =
                 in.list("endpoints", MAX_ENDPOINTS, e -> e.group("endpoint digest", 8, PeerCodec::endpointDigest));
-        List<DemandDigest> demand = in.list("demand", MAX_DEMAND, e -> e.group("demand digest", 3, PeerCodec::demand));
+        List<DemandDigest> demand = in.list("demand", MAX_DEMAND, e -> e.group("demand digest", 6, PeerCodec::demand));
         return new Heartbeat(sequence, version, endpoints, demand, in.flag());
     }
 
@@ -271,7 +271,13 @@
     }
 
     private static DemandDigest demand(FieldReader in) throws IOException, PeerException {
-        return new DemandDigest(in.id("customer", CustomerId::of), in.real("requests/s"), in.real("tokens/s"));
+        return new DemandDigest(
+                in.id("customer", CustomerId::of),
+                in.id("service", ServiceName::of),
+                in.real("requests/s"),
+                in.real("tokens/s"),
+                in.number("active long prompts"),
+                in.number("refused long prompts"));
     }
 
     private static PermitRequest permitRequest(FieldReader in) throws IOException, PeerException {
@@ -307,19 +313,20 @@
 
     /** A decision is [kind, four fields]; a refusal leaves the last one nil. */
     private static Decision decision(FieldReader in) throws IOException, PeerException {
-        return in.group("decision", 5, r -> {
+        return in.group("decision", 6, r -> {
             long kind = r.number("decision kind");
             if (kind == GRANTED) {
                 return new Granted(
                         r.number("permit"),
                         r.id("endpoint", EndpointId::of),
                         r.number("fencing number"),
-                        r.number("validity"));
+                        r.number("validity"),
+                        r.text("crash id"));
             }
             if (kind == REFUSED) {
                 Refused refused = new Refused(
                         r.text("reason"), r.optionalId("owner hint", InstanceId::of), r.number("retry after"));
-                r.skip(1);
+                r.skip(2);
                 return refused;
             }
             throw PeerException.of(Kind.MALFORMED, "decision", "unknown kind " + kind);
@@ -328,9 +335,10 @@
 
     private static PermitRelease permitRelease(FieldReader in) throws IOException, PeerException {
         long permit = in.number("permit");
+        long fence = in.number("fencing number");
         EndpointId endpoint = in.id("endpoint", EndpointId::of);
         RequestId request = in.id("request", RequestId::of);
-        return new PermitRelease(permit, endpoint, request, value(in, Ending.values()));
+        return new PermitRelease(permit, fence, endpoint, request, value(in, Ending.values()));
     }
 
     private static <E extends Enum<E>> E value(FieldReader in, E[] values) throws IOException, PeerException {
--- a/src/main/java/org/jujuberouter/peer/PeerMessage.java
+++ b/src/main/java/org/jujuberouter/peer/PeerMessage.java
@@ -74,8 +74,19 @@
             String model,
             long memoryTokens) {}
 
-    /** The recent demand of one customer at the sender. */
-    record DemandDigest(CustomerId customer, double requestsPerSecond, double tokensPerSecond) {}
+    /**
+     * The recent demand of one customer at the sender.
+     *
+     * @param activeLong long prompts that run
+     * @param refusedLong long prompts refused recently
+     */
+    record DemandDigest(
+            CustomerId customer,
+            ServiceName service,
+            double requestsPerSecond,
+            double tokensPerSecond,
+            long activeLong,
+            long refusedLong) {}
 
     /** A message that waits for a {@link Reply} with the same call id. */
     sealed interface Call extends PeerMessage {
@@ -146,8 +157,13 @@
     /** What the owner decided. */
     sealed interface Decision {}
 
-    /** The sender may start the request within the given time. */
-    record Granted(long permitId, EndpointId endpoint, long fencingNumber, long validMillis) implements Decision {}
+    /**
+     * The sender may start the request within the given time.
+     *
+     * @param crashId names the end of the endpoint's present life, should it crash with the request
+     */
+    record Granted(long permitId, EndpointId endpoint, long fencingNumber, long validMillis, String crashId)
+            implements Decision {}
 
     /**
      * The sender may not start the request.
@@ -159,7 +175,8 @@
     record Refused(String reason, Optional<InstanceId> ownerHint, long retryAfterMillis) implements Decision {}
 
     /** Returns a permit to the owner. */
-    record PermitRelease(long permitId, EndpointId endpoint, RequestId request, Ending ending) implements PeerMessage {}
+    record PermitRelease(long permitId, long fencingNumber, EndpointId endpoint, RequestId request, Ending ending)
+            implements PeerMessage {}
 
     /** Tells the owner how far the work under a permit has come. */
     record PermitStage(EndpointId endpoint, RequestId request, Stage stage) implements PeerMessage {}
@@ -257,8 +274,8 @@
         REFUSE
     }
 
-    /** Tells the arbiter how a run ended; the endpoint is named when it stopped answering. */
-    record RunEnded(Fingerprint fingerprint, RequestId run, RunEnding ending, Optional<EndpointId> endpoint)
+    /** Tells the arbiter how a run ended; the crash is named when the endpoint stopped answering. */
+    record RunEnded(Fingerprint fingerprint, RequestId run, RunEnding ending, Optional<String> crashId)
             implements PeerMessage {}
 
     /** How a run ended. The order is part of the protocol; new values go to the end. */
--- a/src/main/java/org/jujuberouter/peer/PeerSamples.java
+++ b/src/main/java/org/jujuberouter/peer/PeerSamples.java
@@ -54,7 +54,7 @@
     public static List<PeerMessage> all() {
         EndpointDigest endpoint =
                 new EndpointDigest(ENDPOINT, 11, 32, 412_000, 1_600_000, "serving", "tray-70b", 1_800_000);
-        DemandDigest demand = new DemandDigest(CUSTOMER, 12.5, 41_000.25);
+        DemandDigest demand = new DemandDigest(CUSTOMER, ServiceName.of("assistant"), 12.5, 41_000.25, 1, 0);
         HeldPermit permit = new HeldPermit(90_001, REQUEST, HOLDER, 7_800, 8_312, "short", CUSTOMER, FINGERPRINT);
         return List.of(
                 Hello.of(HOLDER, FailureDomain.of("khon-kaen")),
@@ -62,10 +62,10 @@
                 request(new AtEndpoint(ENDPOINT)),
                 request(new AnyOf(ServiceName.of("assistant"), Optional.of(ModelName.of("tray-70b")))),
                 request(new AnyOf(ServiceName.of("ledger"), Optional.empty())),
-                new PermitReply(7, new Granted(90_001, ENDPOINT, 17, 1_000)),
+                new PermitReply(7, new Granted(90_001, ENDPOINT, 17, 1_000, "kk-engine-17@41")),
                 new PermitReply(7, new Refused("not-owner", Optional.of(HOLDER.instance()), 0)),
                 new PermitReply(7, new Refused("full", Optional.empty(), 250)),
-                new PermitRelease(90_001, ENDPOINT, REQUEST, Ending.FINISHED),
+                new PermitRelease(90_001, 17, ENDPOINT, REQUEST, Ending.FINISHED),
                 new Handover(ENDPOINT, 17, Collections.nCopies(8, permit)),
                 crash(8),
                 new PermitStage(ENDPOINT, REQUEST, Stage.PREFILLED),
@@ -73,7 +73,7 @@
                 new ClearNotice(FINGERPRINT, List.of("kk-entry-03.48213.crash.2"), 1_200),
                 new RunRequest(8, FINGERPRINT, REQUEST, 30_000),
                 new RunReply(8, RunVerdict.WAIT, 250, List.of(crash(1))),
-                new RunEnded(FINGERPRINT, REQUEST, RunEnding.LOST, Optional.of(ENDPOINT)),
+                new RunEnded(FINGERPRINT, REQUEST, RunEnding.LOST, Optional.of("kk-engine-17@41")),
                 new SettingsPull(1_912),
                 new SettingsPush(1_913, new byte[126_000]));
     }
--- a/src/main/java/org/jujuberouter/standin/EngineServer.java
+++ b/src/main/java/org/jujuberouter/standin/EngineServer.java
@@ -148,7 +148,7 @@
         JsonNode body = Json.MAPPER.readTree(exchange.getRequestBody().readAllBytes());
         RequestId id = RequestId.of(exchange.getRequestHeaders().getFirst("X-Request-Id"));
         ServedRequest served = ServedRequest.parse(body, chat);
-        model.submit(served.toModel(id, priority(exchange), settings.blockTokens()));
+        model.submit(served.toModel(id, priority(exchange)));
         requests.put(id, served);
         stream(exchange, id, served, 0);
     }
--- a/src/main/java/org/jujuberouter/standin/ServedRequest.java
+++ b/src/main/java/org/jujuberouter/standin/ServedRequest.java
@@ -5,9 +5,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import java.util.zip.CRC32;
 import org.jujuberouter.id.RequestId;
 import org.jujuberouter.misc.Json;
+import org.jujuberouter.routing.PromptBlocks;
 import org.jujuberouter.standin.model.EngineRequest;
 import org.jujuberouter.standin.model.LoadedModel;
 
@@ -50,7 +50,7 @@
                 chat);
     }
 
-    EngineRequest toModel(RequestId id, int priority, int blockTokens) {
+    EngineRequest toModel(RequestId id, int priority) {
         byte[] bytes = prompt.getBytes(StandardCharsets.UTF_8);
         int tokens = Math.max(1, (bytes.length + BYTES_PER_TOKEN - 1) / BYTES_PER_TOKEN) + base;
         EngineRequest request = new EngineRequest(
@@ -59,7 +59,7 @@
                 LoadedModel.of(model, "", ""),
                 priority,
                 tokens,
-                blocks(bytes, blockTokens * BYTES_PER_TOKEN),
+                PromptBlocks.ofText(prompt),
                 Math.max(1, total - base),
                 0,
                 base,
@@ -67,19 +67,6 @@
         return prompt.contains(POISON) ? request.asPoisonous() : request;
     }
 
-    /** Returns the hash of each prefix that ends at a full block. */
-    private static long[] blocks(byte[] bytes, int blockBytes) {
-        long[] chain = new long[bytes.length / blockBytes];
-        long previous = 0;
-        for (int i = 0; i < chain.length; i++) {
-            CRC32 crc = new CRC32();
-            crc.update(bytes, i * blockBytes, blockBytes);
-            previous = previous * 0x9E3779B97F4A7C15L + crc.getValue();
-            chain[i] = previous;
-        }
-        return chain;
-    }
-
     /** Returns the length in characters of this engine's text before the given token of its part. */
     long textLength(int tokens) {
         return lengthOfWords(base + tokens) - lengthOfWords(base);
--- a/src/test/java/org/jujuberouter/peer/PeerCodecTest.java
+++ b/src/test/java/org/jujuberouter/peer/PeerCodecTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Random;
 import org.jujuberouter.id.CustomerId;
+import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.peer.PeerException.Kind;
 import org.jujuberouter.peer.PeerMessage.DemandDigest;
 import org.jujuberouter.peer.PeerMessage.Heartbeat;
@@ -63,7 +64,7 @@
         assertEquals(
                 Kind.OVERSIZED,
                 assertThrows(PeerException.class, () -> PeerCodec.encode(push)).kind());
-        DemandDigest demand = new DemandDigest(CustomerId.of("c"), 1, 1);
+        DemandDigest demand = new DemandDigest(CustomerId.of("c"), ServiceName.of("s"), 1, 1, 0, 0);
         Heartbeat crowded = new Heartbeat(1, 1, List.of(), Collections.nCopies(33, demand), false);
         PeerException e = assertThrows(PeerException.class, () -> PeerCodec.encode(crowded));
         assertEquals("count of demand is 33, the bound is 32", e.getMessage());
--- a/src/test/java/org/jujuberouter/peer/PeerNetworkTest.java
+++ b/src/test/java/org/jujuberouter/peer/PeerNetworkTest.java
@@ -126,8 +126,10 @@
 
     @Test
     void connectsAgainWhenThePeerIsBackWithANewIncarnation() throws Exception {
-        PeerNetwork first = start("owner", answering());
-        InetSocketAddress address = first.address();
+        InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), reservablePort());
+        PeerNetwork first =
+                PeerNetwork.start(Incarnation.of(id("owner"), 1), DOMAIN, address, Ticker.system(), answering());
+        open.add(first);
         PeerNetwork asker = start("asker", (from, m) -> {});
         join(asker, first);
         first.close();
@@ -140,6 +142,21 @@
         await(() -> asker.connected().contains(Incarnation.of(id("owner"), 3)));
     }
 
+    /**
+     * Returns a free port below the range from which the system takes ports of outgoing connections; another process could
+     * take one of those between the end of one listener and the start of the next.
+     */
+    private static int reservablePort() throws IOException {
+        for (int port = 20_000 + (int) (ProcessHandle.current().pid() % 5_000); port < 32_000; port++) {
+            try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return probe.getLocalPort();
+            } catch (java.net.BindException e) {
+                // Taken; the next one is tried.
+            }
+        }
+        throw new IOException("no free port below the ephemeral range");
+    }
+
     @Test
     void boundsWhatWaitsForAPeerThatDoesNotRead() throws Exception {
         PeerNetwork owner = start("owner", answering());
@@ -197,7 +214,8 @@
         return (from, message) -> {
             if (message instanceof PermitRequest request) {
                 try {
-                    from.send(new PermitReply(request.callId(), new Granted(request.totalTokens(), ENDPOINT, 1, 1000)));
+                    from.send(new PermitReply(
+                            request.callId(), new Granted(request.totalTokens(), ENDPOINT, 1, 1000, "x@1")));
                 } catch (PeerException e) {
                     throw new IllegalStateException(e);
                 }
--- a/src/test/java/org/jujuberouter/process/ChildProcess.java
+++ b/src/test/java/org/jujuberouter/process/ChildProcess.java
@@ -39,6 +39,11 @@
         return firstLine.replaceFirst(".* at (http:/+)?", "").replaceFirst("[,/ ].*", "");
     }
 
+    /** Returns where other instances connect, for an entry instance. */
+    String peerAddress() {
+        return firstLine.replaceFirst(".*peers at /+", "");
+    }
+
     long pid() {
         return process.pid();
     }
--- a/src/test/java/org/jujuberouter/process/WholePathTest.java
+++ b/src/test/java/org/jujuberouter/process/WholePathTest.java
@@ -1,14 +1,25 @@
 package org.jujuberouter.process;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.time.Duration;
+import java.util.HexFormat;
+import org.jujuberouter.misc.Ticker;
+import org.jujuberouter.platform.HttpPlatformStore;
+import org.jujuberouter.settings.SettingsChange;
+import org.jujuberouter.settings.SettingsEditor;
+import org.jujuberouter.settings.SettingsResult;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
@@ -24,9 +35,10 @@
                 ChildProcess first = ChildProcess.start("standin", "engine");
                 ChildProcess second = ChildProcess.start("standin", "engine");
                 ChildProcess ledger = ChildProcess.start("standin", "plain")) {
-            register(list, "engine-1", "ENGINE", "assistant", first);
-            register(list, "engine-2", "ENGINE", "assistant", second);
-            register(list, "ledger-1", "PLAIN", "ledger", ledger);
+            configure(store);
+            register(list, "engine-1", "ENGINE", "assistant", first.address());
+            register(list, "engine-2", "ENGINE", "assistant", second.address());
+            register(list, "ledger-1", "PLAIN", "ledger", ledger.address());
             try (ChildProcess entry = ChildProcess.start(
                     "entry",
                     "--instance=entry-1",
@@ -36,6 +48,7 @@
                     "--store=http://" + store.address(),
                     "--list=http://" + list.address())) {
                 awaitReady(entry);
+                register(list, "entry-1", "INSTANCE", "", entry.peerAddress());
                 String body =
                         "{\"model\":\"jujube-1\",\"prompt\":\"summarise marker-42\",\"max_tokens\":5,\"stream\":true}";
                 HttpResponse<String> answer = send(entry, "/v1/completions", body);
@@ -48,11 +61,29 @@
         }
     }
 
-    private void register(ChildProcess list, String name, String role, String service, ChildProcess member)
+    private static void configure(ChildProcess store) throws Exception {
+        JsonNodeFactory json = JsonNodeFactory.instance;
+        byte[] hash = MessageDigest.getInstance("SHA-256").digest("depot-1".getBytes(StandardCharsets.UTF_8));
+        SettingsChange change = SettingsChange.of("c1", "test", 0, "set up", 0)
+                .set("service/assistant/kind", json.textNode("inference"))
+                .set(
+                        "service/assistant/model/jujube-1/versions",
+                        json.arrayNode().add("1"))
+                .set("service/ledger/kind", json.textNode("plain"))
+                .set("domain/khon-kaen/region", json.textNode("isan"))
+                .set("customer/depot/key-hash", json.textNode(HexFormat.of().formatHex(hash)));
+        HttpPlatformStore client = HttpPlatformStore.at(URI.create("http://" + store.address()));
+        assertInstanceOf(
+                SettingsResult.Accepted.class,
+                SettingsEditor.of(client, Ticker.system(), Duration.ofSeconds(5))
+                        .apply(change));
+    }
+
+    private void register(ChildProcess list, String name, String role, String service, String address)
             throws Exception {
         String row =
                 "{\"name\":\"%s\",\"role\":\"%s\",\"service\":\"%s\",\"address\":\"%s\",\"domain\":\"%s\",\"state\":\"LIVE\"}"
-                        .formatted(name, role, service, member.address(), "khon-kaen");
+                        .formatted(name, role, service, address, "khon-kaen");
         HttpRequest put = HttpRequest.newBuilder(URI.create("http://" + list.address() + "/v1/members/" + name))
                 .PUT(BodyPublishers.ofString(row))
                 .build();
