Add seeded failure tests of ownership and admission

Cause: the bound of an endpoint must hold through pauses, lost replies, outages, cold starts and deaths.

--- /dev/null
+++ b/src/test/java/org/jujuberouter/admission/EndpointBookTest.java
@@ -0,0 +1,293 @@
+package org.jujuberouter.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.jujuberouter.id.CustomerId;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.Fingerprint;
+import org.jujuberouter.id.Incarnation;
+import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.id.RequestId;
+import org.jujuberouter.misc.ManualTicker;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards the rules of one endpoint one by one. */
+class EndpointBookTest {
+    private static final Incarnation HOLDER = Incarnation.of(InstanceId.of("holder"), 1);
+    private static final Capacity WARM = Capacity.of(8, 800_000);
+    private static final Capacity COLD = Capacity.of(2, 200_000);
+
+    private final ManualTicker ticker = ManualTicker.atZero();
+    private final Set<Incarnation> dead = new HashSet<>();
+    private final List<EngineRequest> engine = new ArrayList<>();
+    private Mandate mandate = held(1);
+    private EndpointBook book;
+    private int requests;
+    private long boot = 1;
+
+    @BeforeEach
+    void warmUp() {
+        book = EndpointBook.ofEngine(ticker, EndpointId.of("e"), () -> mandate, new Holders() {
+            @Override
+            public boolean dead(Incarnation holder) {
+                return dead.contains(holder);
+            }
+
+            @Override
+            public boolean gone(Incarnation holder) {
+                return dead.contains(holder);
+            }
+        });
+        poll(13, false);
+    }
+
+    @Test
+    void grantsNothingBeforeAListThatShowsTheEarlierOwnersWork() {
+        mandate = held(5);
+        book.tick();
+        ask(Lane.SHORT, 1);
+        assertEquals(0, book.figures().own().slots());
+        engine.add(new EngineRequest(RequestId.of("old"), HOLDER, 4, Lane.SHORT, 1, false));
+        poll(2, false);
+        assertEquals(1, book.figures().foreign().slots());
+        fill(20);
+        assertEquals(7, book.figures().own().slots());
+    }
+
+    @Test
+    void fallsToTheColdBoundAtOnceAndDoublesEveryFiveSeconds() {
+        boot = 2;
+        book.report(new EndpointReport(boot, false, false, WARM, COLD), ticker.nanos());
+        assertEquals(COLD, book.figures().bound());
+        poll(6, false);
+        assertEquals(4, book.figures().bound().slots());
+        poll(1, true);
+        assertEquals(COLD, book.figures().bound());
+        pass(2_100);
+        assertEquals(Capacity.NONE, book.figures().bound(), "no recent report");
+    }
+
+    @Test
+    void stopsGrantsAfterABrokenConnectionUntilANewerReport() {
+        Permit permit = granted(ask(Lane.SHORT, 1));
+        book.release(permit.ref(), PermitEnd.FAILED);
+        assertInstanceOf(Decision.Waiting.class, ask(Lane.SHORT, 1));
+        poll(1, false);
+        assertEquals(0, book.answers().size(), "the holder has not asked again for a second");
+        assertInstanceOf(Decision.Granted.class, ask(Lane.SHORT, 1));
+    }
+
+    @Test
+    void refusesWithTheReason() {
+        assertReason(Refusal.TooLarge.class, request(Lane.LONG, 700_000, "c", false, 10_000));
+        assertReason(Refusal.DeadlineUnreachable.class, request(Lane.SHORT, 1, "c", false, 0));
+        PermitRequest marked = request(Lane.SHORT, 1, "c", true, 9_000);
+        granted(book.request(marked));
+        assertReason(Refusal.MarkedRunning.class, request(Lane.SHORT, 1, "c", true, 9_000));
+        PermitRequest same = request(Lane.SHORT, 1, "c", false, 9_000);
+        assertReason(
+                Refusal.IdenticalRunning.class,
+                new PermitRequest(
+                        same.id(),
+                        HOLDER,
+                        same.customer(),
+                        1,
+                        Lane.SHORT,
+                        1,
+                        marked.fingerprint(),
+                        false,
+                        same.deadlineNanos()));
+        book.drain(true);
+        assertReason(Refusal.Drained.class, same);
+        book.drain(false);
+        book.report(new EndpointReport(1, false, true, WARM, COLD), ticker.nanos());
+        assertReason(Refusal.Leaving.class, same);
+        mandate = new Mandate.None(Optional.of(InstanceId.of("other")));
+        assertEquals(
+                new Decision.Refused(new Refusal.NotOwner(Optional.of(InstanceId.of("other")))), book.request(same));
+    }
+
+    @Test
+    void refusesEarlyWhatCannotStartBeforeItsDeadline() {
+        for (int i = 0; i < 8; i++) {
+            Permit permit = granted(ask(Lane.SHORT, 1));
+            pass(400);
+            book.release(permit.ref(), PermitEnd.COMPLETED);
+            poll(1, false);
+        }
+        fill(40);
+        Decision decision = book.request(request(Lane.SHORT, 1, "c", false, 1_000));
+        Refusal refusal = assertInstanceOf(Decision.Refused.class, decision).reason();
+        assertTrue(assertInstanceOf(Refusal.DeadlineUnreachable.class, refusal).expectedWaitNanos() > 0);
+    }
+
+    @Test
+    void keepsRoomForShortRequestsAndAdmitsOneLongPrefillAtATime() {
+        Permit first = granted(ask(Lane.LONG, 100_000));
+        book.started(first.id());
+        PermitRequest second = request(Lane.LONG, 100_000, "c", false, 9_000);
+        assertInstanceOf(Decision.Waiting.class, book.request(second));
+        book.prefillDone(first.id());
+        assertEquals(second, book.answers().getFirst().request());
+        for (int i = 0; i < 8; i++) {
+            ask(Lane.MEDIUM, 10_000);
+            startAll();
+        }
+        assertEquals(6, book.figures().own().slots());
+        granted(ask(Lane.SHORT, 1_000));
+        granted(ask(Lane.SHORT, 1_000));
+    }
+
+    @Test
+    void doesNotStarveALongRequestBehindAStreamOfShortOnes() {
+        List<Permit> running = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            running.add(granted(ask(Lane.SHORT, 90_000)));
+            startAll();
+        }
+        PermitRequest longer = request(Lane.LONG, 400_000, "c", false, 60_000);
+        boolean started = false;
+        for (int i = 0; i < 8 && !started; i++) {
+            book.request(longer);
+            book.release(running.removeFirst().ref(), PermitEnd.COMPLETED);
+            ask(Lane.SHORT, 90_000);
+            started = book.answers().stream().anyMatch(a -> a.request().equals(longer));
+            startAll();
+        }
+        assertTrue(started);
+    }
+
+    @Test
+    void dividesAShortageByWeightBetweenCustomersInDeadlineOrder() {
+        List<Permit> running = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            running.add(granted(ask(Lane.SHORT, 1)));
+            startAll();
+        }
+        for (int i = 0; i < 40; i++) {
+            book.request(request(Lane.SHORT, 100, i < 30 ? "greedy" : "small", false, 90_000 - i));
+        }
+        int small = 0;
+        long lastDeadline = 0;
+        for (int i = 0; i < 8; i++) {
+            book.release(running.get(i).ref(), PermitEnd.COMPLETED);
+            PermitRequest next = book.answers().getFirst().request();
+            small += next.customer().value().equals("small") ? 1 : 0;
+            if (next.customer().value().equals("small")) {
+                assertTrue(next.deadlineNanos() > lastDeadline);
+                lastDeadline = next.deadlineNanos();
+            }
+            startAll();
+        }
+        assertEquals(4, small);
+    }
+
+    @Test
+    void cancelsWhatBelongsToNoPermitOrToADeadHolderAfterFiveSeconds() {
+        Permit permit = granted(ask(Lane.SHORT, 1));
+        engine.add(new EngineRequest(permit.id(), HOLDER, 1, Lane.SHORT, 1, false));
+        engine.add(new EngineRequest(RequestId.of("stray"), HOLDER, 1, Lane.SHORT, 1, false));
+        assertEquals(List.of(), poll(5, false));
+        assertEquals(List.of(RequestId.of("stray")), poll(1, false));
+        dead.add(HOLDER);
+        assertEquals(List.of(RequestId.of("stray")), poll(5, false));
+        assertEquals(2, poll(1, false).size());
+        engine.clear();
+        poll(1, false);
+        assertEquals(0, book.figures().own().slots() + book.figures().foreign().slots());
+    }
+
+    @Test
+    void countsAnUnusedPermitUntilItsHolderAnswers() {
+        Permit first = granted(ask(Lane.SHORT, 1));
+        poll(20, false);
+        assertEquals(1, book.figures().own().slots(), "a paused holder may still send");
+        Permit again = granted(book.request(first.request()));
+        book.release(first.ref(), PermitEnd.NOT_SENT);
+        assertEquals(1, book.figures().own().slots(), "news of the earlier grant must not free the later one");
+        book.holderReport(HOLDER, List.of(), ticker.nanos() + 1);
+        assertEquals(0, book.figures().own().slots());
+        book.release(again.ref(), PermitEnd.NOT_SENT);
+    }
+
+    @Test
+    void answersThousandsOfPermitRequestsASecond() {
+        int rounds = 200_000;
+        long begin = System.nanoTime();
+        for (int i = 0; i < rounds; i++) {
+            Permit permit = granted(ask(Lane.SHORT, 1));
+            book.started(permit.id());
+            book.release(permit.ref(), PermitEnd.COMPLETED);
+        }
+        double rate = rounds / ((System.nanoTime() - begin) / 1e9);
+        System.out.printf("permits: %.0f grants and releases a second on one thread%n", rate);
+        assertTrue(rate > 5_000, "rate " + rate);
+    }
+
+    private void startAll() {
+        book.permits().forEach(p -> book.started(p.id()));
+    }
+
+    private void fill(int count) {
+        for (int i = 0; i < count; i++) {
+            ask(Lane.SHORT, 1);
+            startAll();
+        }
+    }
+
+    private Decision ask(Lane lane, long tokens) {
+        return book.request(request(lane, tokens, "c", false, 60_000));
+    }
+
+    private PermitRequest request(Lane lane, long tokens, String customer, boolean alone, long deadlineMs) {
+        String name = "request-" + requests++;
+        return new PermitRequest(
+                RequestId.of(name),
+                HOLDER,
+                CustomerId.of(customer),
+                1,
+                lane,
+                tokens,
+                Fingerprint.of(name),
+                alone,
+                ticker.nanos() + deadlineMs * 1_000_000);
+    }
+
+    private static Permit granted(Decision decision) {
+        return assertInstanceOf(Decision.Granted.class, decision).permit();
+    }
+
+    private void assertReason(Class<? extends Refusal> reason, PermitRequest request) {
+        assertInstanceOf(
+                reason,
+                assertInstanceOf(Decision.Refused.class, book.request(request)).reason());
+    }
+
+    private List<RequestId> poll(int times, boolean cold) {
+        List<RequestId> cancel = List.of();
+        for (int i = 0; i < times; i++) {
+            pass(1_000);
+            book.report(new EndpointReport(boot, cold, false, WARM, COLD), ticker.nanos());
+            cancel = book.listed(engine, ticker.nanos());
+        }
+        return cancel;
+    }
+
+    private void pass(long ms) {
+        ticker.advance(Duration.ofMillis(ms));
+        book.tick();
+    }
+
+    private static Mandate held(long fence) {
+        return new Mandate.Held(fence, 0, b -> b, b -> Math.floorDiv(3 * b, 4), b -> 0);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jujuberouter/membership/MembershipTest.java
@@ -0,0 +1,123 @@
+package org.jujuberouter.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.Incarnation;
+import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.misc.ManualTicker;
+import org.junit.jupiter.api.Test;
+
+/** Guards against views that call a live instance dead, or a dead one live. */
+class MembershipTest {
+    private static final FailureDomain DOMAIN = FailureDomain.of("d");
+    private static final InstanceId SELF = InstanceId.of("self");
+    private static final InstanceId OTHER = InstanceId.of("other");
+
+    private final ManualTicker ticker = ManualTicker.atZero();
+    private final Membership view = Membership.of(ticker, SELF, DOMAIN);
+
+    @Test
+    void suspectsAfterThreeSecondsAndDeclaresDeadAfterTen() {
+        list(OTHER);
+        hear(1);
+        pass(2_900);
+        assertEquals(MemberState.LIVE, view.state(OTHER));
+        pass(200);
+        assertEquals(MemberState.SUSPECT, view.state(OTHER));
+        assertEquals(Set.of(SELF), view.live());
+        pass(7_000);
+        assertEquals(MemberState.DEAD, view.state(OTHER));
+        hear(1);
+        assertEquals(MemberState.LIVE, view.state(OTHER));
+    }
+
+    @Test
+    void countsAsGoneOnlyWhileNeitherListedNorHeard() {
+        list(OTHER);
+        list();
+        hear(1);
+        pass(4_000);
+        assertEquals(4_000_000_000L, view.goneNanos(OTHER));
+        assertFalse(view.gone(Incarnation.of(OTHER, 1)));
+        pass(6_000);
+        assertTrue(view.gone(Incarnation.of(OTHER, 1)));
+        assertFalse(view.gone(Incarnation.of(OTHER, 2)), "the list may still show the end of the earlier run");
+        assertFalse(view.dead(Incarnation.of(OTHER, 2)));
+        list(OTHER);
+        assertEquals(0, view.goneNanos(OTHER));
+        hear(5);
+        assertTrue(view.dead(Incarnation.of(OTHER, 1)), "a later run is known");
+    }
+
+    @Test
+    void believesTheListAboutInstancesThatDoNotSendHere() {
+        List<InstanceId> all = fleet(60);
+        Membership one = Membership.of(ticker, all.getFirst(), DOMAIN);
+        one.listed(all.stream().map(id -> row(id, false)).toList());
+        pass(60_000);
+        one.tick();
+        Set<InstanceId> senders = HeartbeatPeers.senders(all.getFirst(), all);
+        for (InstanceId id : all.subList(1, 60)) {
+            assertEquals(senders.contains(id) ? MemberState.DEAD : MemberState.LIVE, one.state(id), id.value());
+        }
+    }
+
+    @Test
+    void keepsLeavingInstancesInTheViewButOutOfTheCandidates() {
+        view.listed(List.of(row(OTHER, true)));
+        assertEquals(MemberState.LEAVING, view.state(OTHER));
+        assertFalse(view.live().contains(OTHER));
+    }
+
+    @Test
+    void reachesEveryInstanceThroughTheHeartbeatGraph() {
+        for (int size : new int[] {2, 16, 17, 100, 410}) {
+            List<InstanceId> all = fleet(size);
+            Set<InstanceId> reached = new HashSet<>();
+            ArrayDeque<InstanceId> next = new ArrayDeque<>(List.of(all.getFirst()));
+            while (!next.isEmpty()) {
+                InstanceId id = next.poll();
+                if (reached.add(id)) {
+                    Set<InstanceId> peers = HeartbeatPeers.select(id, all);
+                    assertEquals(Math.min(size - 1, HeartbeatPeers.FANOUT), peers.size());
+                    next.addAll(peers);
+                }
+            }
+            assertEquals(size, reached.size());
+        }
+    }
+
+    private void list(InstanceId... ids) {
+        view.listed(List.of(ids).stream().map(id -> row(id, false)).toList());
+    }
+
+    private static Membership.Listed row(InstanceId id, boolean leaving) {
+        return new Membership.Listed(id, DOMAIN, "address", leaving);
+    }
+
+    private void hear(long incarnation) {
+        view.heard(Incarnation.of(OTHER, incarnation), DOMAIN, "address", false);
+    }
+
+    private void pass(long ms) {
+        ticker.advance(Duration.ofMillis(ms));
+        view.tick();
+    }
+
+    private static List<InstanceId> fleet(int size) {
+        List<InstanceId> all = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            all.add(InstanceId.of("instance-" + i));
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jujuberouter/ownership/FleetSimulation.java
@@ -0,0 +1,232 @@
+package org.jujuberouter.ownership;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.jujuberouter.admission.Lane;
+import org.jujuberouter.admission.Permit;
+import org.jujuberouter.admission.PermitEnd;
+import org.jujuberouter.admission.PermitRequest;
+import org.jujuberouter.id.CustomerId;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.Fingerprint;
+import org.jujuberouter.id.Incarnation;
+import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.id.RequestId;
+import org.jujuberouter.membership.Membership;
+import org.jujuberouter.misc.ManualTicker;
+
+/** Instances, engines, store and list on one virtual clock; everything follows from the seed. */
+final class FleetSimulation {
+    final ManualTicker ticker = ManualTicker.atZero();
+    final FakeStore store;
+    final Map<EndpointId, SimulatedEngine> engines = new LinkedHashMap<>();
+    final Map<InstanceId, SimulatedInstance> instances = new TreeMap<>();
+    final Random random;
+    long listLagMs = 3_000;
+    long arrivalMs = 40;
+
+    /** Whether the baseline without an owner runs. */
+    boolean naive;
+
+    /** Pairs of instances, as text, between which nothing is delivered. */
+    final Set<String> cut = new HashSet<>();
+
+    /** Instances that the platform's list omits although they are alive. */
+    final Set<InstanceId> hidden = new HashSet<>();
+
+    /** Endpoints out of service by a setting, which a starting instance knows at once. */
+    final Set<EndpointId> drained = new HashSet<>();
+
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::sequence));
+    private final Map<InstanceId, Long> diedAt = new HashMap<>();
+    private final long stepMs;
+    private long sequence;
+    private int requests;
+
+    FleetSimulation(long seed, int size, int engineCount, long stepMs) {
+        random = new Random(seed);
+        store = new FakeStore(ticker, seed);
+        this.stepMs = stepMs;
+        for (int i = 0; i < engineCount; i++) {
+            EndpointId id = EndpointId.of("engine-" + i);
+            engines.put(id, new SimulatedEngine(id));
+        }
+        for (int i = 0; i < size; i++) {
+            start(InstanceId.of("instance-" + i));
+        }
+    }
+
+    List<EndpointId> endpoints() {
+        return List.copyOf(engines.keySet());
+    }
+
+    long nowMs() {
+        return ticker.millis();
+    }
+
+    /** Returns the instance that owns the engine, or any. */
+    SimulatedInstance ownerOf(EndpointId endpoint) {
+        List<SimulatedInstance> all = List.copyOf(instances.values());
+        return all.stream()
+                .filter(i -> i.ownership.standing(endpoint) instanceof Standing.Owner)
+                .findFirst()
+                .orElseGet(() -> all.get(random.nextInt(all.size())));
+    }
+
+    /** Tells whether one owner has the whole bound. */
+    boolean fullyOwned(EndpointId endpoint) {
+        var standing = ownerOf(endpoint).ownership.standing(endpoint);
+        return standing instanceof Standing.Owner own && !own.lapsed() && own.exclusive();
+    }
+
+    private void start(InstanceId id) {
+        instances.put(id, new SimulatedInstance(this, id, random.nextLong()));
+        diedAt.remove(id);
+    }
+
+    /** Kills an instance; a new process with the same id starts later. */
+    void kill(SimulatedInstance instance, long restartMs) {
+        if (!instance.dead) {
+            instance.dead = true;
+            diedAt.put(instance.id, nowMs());
+            at(nowMs() + restartMs, null, () -> start(instance.id));
+        }
+    }
+
+    void pause(SimulatedInstance instance, long ms) {
+        instance.paused = true;
+        at(nowMs() + ms, null, () -> {
+            instance.paused = false;
+            List<Runnable> late = List.copyOf(instance.deferred);
+            instance.deferred.clear();
+            late.forEach(Runnable::run);
+        });
+    }
+
+    void at(long ms, SimulatedInstance on, Runnable action) {
+        events.add(new Event(ms, sequence++, on, action));
+    }
+
+    /** Sends a message; one from or to a paused instance waits for it, one to or from a dead instance is lost. */
+    void send(SimulatedInstance from, InstanceId to, Consumer<SimulatedInstance> message) {
+        SimulatedInstance target = instances.get(to);
+        if (from != null && from.paused) {
+            from.deferred.add(() -> send(from, to, message));
+        } else if (target != null && (from == null || !cut.contains(from.id + "-" + to))) {
+            at(nowMs() + 1 + random.nextInt(12), target, () -> message.accept(target));
+        }
+    }
+
+    void toEngine(SimulatedInstance from, Runnable action) {
+        if (from.paused) {
+            from.deferred.add(() -> toEngine(from, action));
+        } else {
+            at(nowMs() + 1 + random.nextInt(12), null, action);
+        }
+    }
+
+    void run(SimulatedEngine engine, Permit permit, Consumer<PermitEnd> ended) {
+        long serviceMs = 200 + random.nextInt(3_000) + permit.request().tokens() / 50;
+        var work = new SimulatedEngine.Running(permit, nowMs() + serviceMs / 2, ended);
+        engine.start(work, nowMs());
+        at(nowMs() + serviceMs, null, () -> {
+            if (engine.running.remove(permit.id(), work)) {
+                ended.accept(PermitEnd.COMPLETED);
+            }
+        });
+    }
+
+    void runUntil(long endMs) {
+        while (nowMs() < endMs) {
+            ticker.advance(Duration.ofMillis(stepMs));
+            store.step();
+            while (!events.isEmpty() && events.peek().atMs <= nowMs()) {
+                Event event = events.poll();
+                if (event.on != null && event.on.paused) {
+                    event.on.deferred.add(event.action);
+                } else if (event.on == null || !event.on.dead) {
+                    event.action.run();
+                }
+            }
+            if (arrivalMs > 0 && random.nextLong(Math.max(1, arrivalMs / stepMs)) == 0) {
+                arrive();
+            }
+            for (SimulatedInstance instance : instances.values()) {
+                long phase = nowMs() + Math.floorMod(instance.id.hashCode(), 10) * 100L;
+                if (!instance.paused && !instance.dead && phase % 100 < stepMs) {
+                    periodic(instance, phase % 1_000 < 100);
+                }
+            }
+        }
+    }
+
+    private void periodic(SimulatedInstance instance, boolean everySecond) {
+        if (!naive) {
+            instance.tick();
+        }
+        instance.membership.tick();
+        if (everySecond) {
+            instance.heartbeat();
+            instance.membership.listed(instances.keySet().stream()
+                    .filter(id -> !hidden.contains(id) && nowMs() - diedAt.getOrDefault(id, nowMs()) < listLagMs)
+                    .map(id -> new Membership.Listed(id, SimulatedInstance.DOMAIN, "address", false))
+                    .toList());
+            if (!naive) {
+                instance.poll();
+            }
+            engines.values()
+                    .forEach(e -> toEngine(instance, () -> {
+                        long slots = e.up(nowMs()) ? e.bears(nowMs()).slots() : 0;
+                        instance.naiveFree.put(e.id, slots - e.running.size());
+                    }));
+        }
+    }
+
+    private void arrive() {
+        SimulatedInstance at = List.copyOf(instances.values()).get(random.nextInt(instances.size()));
+        int kind = random.nextInt(100);
+        long tokens = kind < 80 ? 1_000 + random.nextInt(7_000) : kind < 95 ? 10_000 + random.nextInt(50_000) : 150_000;
+        CustomerId customer = CustomerId.of("customer-" + random.nextInt(4));
+        EndpointId endpoint = endpoints().get(random.nextInt(engines.size()));
+        RequestId id = RequestId.of("request-" + requests++);
+        long deadline = ticker.nanos() + 8_000_000_000L;
+        if (at.dead || at.paused || (!naive && at.registration.process().isEmpty())) {
+            return;
+        }
+        Incarnation holder = at.registration.process().orElse(Incarnation.of(at.id, 1));
+        var request = new PermitRequest(
+                id, holder, customer, 1, Lane.of(tokens), tokens, Fingerprint.of(id.value()), false, deadline);
+        if (naive) {
+            sendToLeastLoaded(at, request);
+        } else {
+            at.ask(request, endpoint);
+        }
+    }
+
+    /** The baseline: sends where the instance's last reports and its own sends since then show most slots free. */
+    private void sendToLeastLoaded(SimulatedInstance at, PermitRequest request) {
+        var best = at.naiveFree.entrySet().stream().max(Map.Entry.comparingByValue());
+        best.filter(e -> e.getValue() > 0).ifPresent(e -> {
+            e.setValue(e.getValue() - 1);
+            SimulatedEngine engine = engines.get(e.getKey());
+            toEngine(at, () -> {
+                if (engine.up(nowMs())) {
+                    run(engine, new Permit(request, 0, 0, 0), how -> {});
+                }
+            });
+        });
+    }
+
+    private record Event(long atMs, long sequence, SimulatedInstance on, Runnable action) {}
+}
--- /dev/null
+++ b/src/test/java/org/jujuberouter/ownership/OwnerRecordTest.java
@@ -0,0 +1,60 @@
+package org.jujuberouter.ownership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import org.jujuberouter.id.Incarnation;
+import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.platform.StoreEntry;
+import org.junit.jupiter.api.Test;
+
+/** Guards against shares that add up to more than the bound. */
+class OwnerRecordTest {
+    @Test
+    void keepsThreeQuartersRoundedDownForALapsedOwner() {
+        OwnerRecord first = OwnerRecord.first(owner(1));
+        OwnerRecord second = first.takenBy(owner(2), false);
+        assertEquals(6, second.predecessors().getFirst().keeps(8));
+        assertEquals(2, Predecessor.share(8, second.predecessors()));
+        assertEquals(0, second.predecessors().getFirst().keeps(1));
+        assertEquals(1, Predecessor.share(1, second.predecessors()));
+        OwnerRecord third = second.takenBy(owner(3), false);
+        assertEquals(1, third.predecessors().get(1).keeps(8));
+        assertEquals(1, Predecessor.share(8, third.predecessors()));
+    }
+
+    @Test
+    void sumsToAtMostTheBoundWhateverIsClearedAndWhoeverSeesAnOlderBound() {
+        for (long seed = 0; seed < 2_000; seed++) {
+            Random random = new Random(seed);
+            OwnerRecord current = OwnerRecord.first(owner(1));
+            for (int change = 2; change < 8; change++) {
+                current = random.nextInt(3) > 0 || current.predecessors().isEmpty()
+                        ? current.takenBy(owner(change), random.nextInt(4) == 0)
+                        : current.without(List.of(current.predecessors()
+                                .get(random.nextInt(current.predecessors().size()))));
+                long bound = 1 + random.nextInt(70);
+                long sum = Predecessor.share(bound, current.predecessors());
+                for (Predecessor predecessor : current.predecessors()) {
+                    sum += predecessor.keeps(1 + random.nextInt((int) bound));
+                }
+                assertTrue(sum <= bound, "seed " + seed + ": " + sum + " of " + bound + " by " + current);
+            }
+        }
+    }
+
+    @Test
+    void comesBackFromTheStoreAsItWasWritten() throws Exception {
+        OwnerRecord nested =
+                OwnerRecord.first(owner(1)).takenBy(owner(2), false).takenBy(owner(3), false);
+        for (OwnerRecord each : List.of(nested, nested.released())) {
+            assertEquals(each, OwnerCodec.decode(StoreEntry.of("owner/e", 1, OwnerCodec.encode(each))));
+        }
+    }
+
+    private static Incarnation owner(int number) {
+        return Incarnation.of(InstanceId.of("instance-" + number), number);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jujuberouter/ownership/SimulatedInstance.java
@@ -0,0 +1,225 @@
+package org.jujuberouter.ownership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import org.jujuberouter.admission.Decision;
+import org.jujuberouter.admission.EndpointBook;
+import org.jujuberouter.admission.EndpointBooks;
+import org.jujuberouter.admission.Handover;
+import org.jujuberouter.admission.Holders;
+import org.jujuberouter.admission.Mandate;
+import org.jujuberouter.admission.Permit;
+import org.jujuberouter.admission.PermitClaim;
+import org.jujuberouter.admission.PermitEnd;
+import org.jujuberouter.admission.PermitRequest;
+import org.jujuberouter.admission.Refusal;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.Incarnation;
+import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.id.RequestId;
+import org.jujuberouter.membership.Membership;
+
+/** One instance: the real decision classes, wired as a daemon does it. */
+final class SimulatedInstance implements MemberView, Holders {
+    static final FailureDomain DOMAIN = FailureDomain.of("d");
+
+    final InstanceId id;
+    final Membership membership;
+    final Registration registration;
+    final Ownership ownership;
+    final EndpointBooks books;
+    final Map<EndpointId, Long> naiveFree = new TreeMap<>();
+    final List<Runnable> deferred = new ArrayList<>();
+    boolean paused;
+    boolean dead;
+
+    /** Pauses once at the next grant: 1 as the owner before the reply leaves, 2 as the holder before the first byte. */
+    int pauseAtGrant;
+
+    long pauseMs;
+
+    private final FleetSimulation fleet;
+    private final Map<RequestId, PermitClaim> claims = new HashMap<>();
+
+    SimulatedInstance(FleetSimulation fleet, InstanceId id, long seed) {
+        this.fleet = fleet;
+        this.id = id;
+        membership = Membership.of(fleet.ticker, id, DOMAIN);
+        registration = Registration.of(fleet.ticker, fleet.store, id, "address", new Random(seed));
+        ownership = Ownership.of(fleet.ticker, fleet.store, registration, this);
+        books = EndpointBooks.of(fleet.ticker, this::mandate, this, e -> true);
+        books.drain(fleet.drained);
+    }
+
+    @Override
+    public Collection<InstanceId> candidates(EndpointId endpoint) {
+        return membership.live();
+    }
+
+    @Override
+    public long stableNanos() {
+        return membership.stableNanos();
+    }
+
+    @Override
+    public long goneNanos(InstanceId instance) {
+        return membership.goneNanos(instance);
+    }
+
+    @Override
+    public boolean dead(Incarnation holder) {
+        return membership.dead(holder);
+    }
+
+    @Override
+    public boolean gone(Incarnation holder) {
+        return membership.gone(holder);
+    }
+
+    private Mandate mandate(EndpointId endpoint) {
+        return switch (ownership.standing(endpoint)) {
+            case Standing.NotOwner not -> new Mandate.None(not.hint());
+            case Standing.Owner own ->
+                new Mandate.Held(own.fence(), own.predecessors().size(), own::usable, own::unsent, own::reserved);
+        };
+    }
+
+    void tick() {
+        registration.tick();
+        ownership.tick(fleet.endpoints());
+        ownership.owned().forEach(books::book);
+        for (Handover handover : books.tick(this::deliver)) {
+            fleet.send(this, handover.next(), to -> {
+                to.books.book(handover.endpoint()).handover(handover.fence(), handover.permits());
+                to.ownership.handedOver(handover.endpoint());
+            });
+        }
+    }
+
+    void heartbeat() {
+        registration
+                .process()
+                .ifPresent(process -> fleet.instances
+                        .keySet()
+                        .forEach(peer ->
+                                fleet.send(this, peer, to -> to.membership.heard(process, DOMAIN, "address", false))));
+    }
+
+    void poll() {
+        long asked = fleet.ticker.nanos();
+        for (EndpointBook book : books.all()) {
+            SimulatedEngine engine = fleet.engines.get(book.endpoint());
+            fleet.toEngine(this, () -> {
+                if (engine.up(fleet.nowMs())) {
+                    var report = engine.report(fleet.nowMs());
+                    var rows = engine.list(fleet.nowMs());
+                    fleet.send(null, id, to -> {
+                        book.report(report, asked);
+                        book.listed(rows, asked).forEach(engine.running::remove);
+                        to.deliver(book);
+                    });
+                }
+            });
+        }
+    }
+
+    private void decide(PermitRequest request, EndpointId endpoint, InstanceId holder) {
+        membership.heard(request.holder(), DOMAIN, "address", false);
+        reply(request, endpoint, books.book(endpoint).request(request), holder);
+        deliver(books.book(endpoint));
+    }
+
+    private void deliver(EndpointBook book) {
+        book.answers()
+                .forEach(a -> reply(
+                        a.request(),
+                        book.endpoint(),
+                        a.decision(),
+                        a.request().holder().instance()));
+    }
+
+    private void reply(PermitRequest request, EndpointId endpoint, Decision decision, InstanceId holder) {
+        if (decision instanceof Decision.Granted) {
+            pauseIf(1);
+        }
+        fleet.send(this, holder, to -> to.decided(request, endpoint, decision, id));
+    }
+
+    private void pauseIf(int kind) {
+        if (pauseAtGrant == kind) {
+            pauseAtGrant = 0;
+            fleet.pause(this, pauseMs);
+        }
+    }
+
+    void ask(PermitRequest request, EndpointId endpoint) {
+        if (claims.computeIfAbsent(request.id(), r -> PermitClaim.of(fleet.ticker, request))
+                .ask()) {
+            fleet.send(this, owner(endpoint), to -> to.decide(request, endpoint, id));
+        }
+    }
+
+    private InstanceId owner(EndpointId endpoint) {
+        return ownership.standing(endpoint) instanceof Standing.NotOwner not
+                ? not.hint().orElse(id)
+                : id;
+    }
+
+    private void decided(PermitRequest request, EndpointId endpoint, Decision decision, InstanceId owner) {
+        switch (decision) {
+            case Decision.Waiting waiting -> fleet.at(fleet.nowMs() + 500, this, () -> ask(request, endpoint));
+            case Decision.Refused refused -> {
+                if (refused.reason() instanceof Refusal.NotOwner not) {
+                    ownership.hint(endpoint, not.hint());
+                    fleet.at(fleet.nowMs() + 250, this, () -> ask(request, endpoint));
+                }
+            }
+            case Decision.Granted granted -> granted(granted.permit(), endpoint, owner);
+        }
+    }
+
+    private void granted(Permit permit, EndpointId endpoint, InstanceId owner) {
+        // Without a claim, an earlier run of this process asked.
+        PermitClaim claim = claims.get(permit.id());
+        switch (claim == null ? PermitClaim.Use.RELEASE : claim.use(permit)) {
+            case RELEASE -> end(permit, endpoint, owner, PermitEnd.NOT_SENT);
+            case SEND -> sendWork(permit, endpoint, owner);
+            default -> {}
+        }
+    }
+
+    private void sendWork(Permit permit, EndpointId endpoint, InstanceId owner) {
+        pauseIf(2);
+        SimulatedEngine engine = fleet.engines.get(endpoint);
+        fleet.toEngine(this, () -> {
+            if (!engine.up(fleet.nowMs())) {
+                fleet.send(null, id, to -> to.end(permit, endpoint, owner, PermitEnd.FAILED));
+                return;
+            }
+            fleet.run(engine, permit, how -> fleet.send(null, id, to -> to.end(permit, endpoint, owner, how)));
+            fleet.send(
+                    null,
+                    id,
+                    to -> fleet.send(to, owner, o -> {
+                        o.books.book(endpoint).started(permit.id());
+                        o.deliver(o.books.book(endpoint));
+                    }));
+        });
+    }
+
+    private void end(Permit permit, EndpointId endpoint, InstanceId granter, PermitEnd how) {
+        for (InstanceId target : new HashSet<>(List.of(granter, owner(endpoint)))) {
+            fleet.send(this, target, to -> {
+                to.books.book(endpoint).release(permit.ref(), how);
+                to.deliver(to.books.book(endpoint));
+            });
+        }
+    }
+}
