Count only the work that a prompt does not overtake

A second cause was that all instances chose among the same four remembered holders of a common prefix. Change: load is reported by lane and measured in seconds at the engine's own rate; only lanes that are served before the request count. A block with the most holders gives no affinity, and of the others two are considered.

--- a/src/main/java/org/jujuberouter/experiment/BaselinePolicy.java
+++ b/src/main/java/org/jujuberouter/experiment/BaselinePolicy.java
@@ -96,7 +96,9 @@
 
     private double load(EndpointId endpoint) {
         ReportedLoad report = reports.get(endpoint);
-        return report.pendingPrefillTokens()
+        return report.pending().shortTokens()
+                + report.pending().mediumTokens()
+                + report.pending().longTokens()
                 + REQUEST_COST * report.requests()
                 + sent.get(endpoint).stream().mapToDouble(Sent::work).sum();
     }
--- a/src/main/java/org/jujuberouter/experiment/EngineGate.java
+++ b/src/main/java/org/jujuberouter/experiment/EngineGate.java
@@ -76,8 +76,11 @@
         return waiting.size();
     }
 
-    long waitingTokens() {
-        return waiting.stream().mapToLong(w -> w.promptTokens).sum();
+    long waitingTokens(Lane lane) {
+        return waiting.stream()
+                .filter(w -> w.lane == lane)
+                .mapToLong(w -> w.promptTokens)
+                .sum();
     }
 
     private void startWaiting() {
--- a/src/main/java/org/jujuberouter/experiment/FleetSetup.java
+++ b/src/main/java/org/jujuberouter/experiment/FleetSetup.java
@@ -54,7 +54,8 @@
                     EndpointId.of("engine-" + i),
                     domain(i),
                     Set.of(MODEL),
-                    settings(i, 0).kvTokens()));
+                    settings(i, 0).kvTokens(),
+                    settings(i, 0).prefillTokensPerSecond()));
         }
         return endpoints;
     }
--- a/src/main/java/org/jujuberouter/experiment/RouterPolicy.java
+++ b/src/main/java/org/jujuberouter/experiment/RouterPolicy.java
@@ -42,7 +42,7 @@
         switch (event.kind()) {
             case STORED -> router.cacheStored(endpoint, event.sequence(), event.blocks());
             case EVICTED -> router.cacheEvicted(endpoint, event.sequence(), event.blocks());
-            case CLEARED -> router.cacheCleared(endpoint, event.sequence());
+            default -> router.cacheCleared(endpoint, event.sequence());
         }
     }
 }
--- a/src/main/java/org/jujuberouter/experiment/VirtualFleet.java
+++ b/src/main/java/org/jujuberouter/experiment/VirtualFleet.java
@@ -34,6 +34,9 @@
  */
 final class VirtualFleet {
     private static final long MESSAGE_NANOS = Duration.ofMillis(1).toNanos();
+    /** A request that a gate can never admit would otherwise keep the run going for ever. */
+    private static final long MAX_DRAIN_NANOS = Duration.ofHours(1).toNanos();
+
     private static final long REPORT_NANOS = Duration.ofMillis(500).toNanos();
     private static final long REQUEST_DIRECTIONS = 4;
     private static final long ANSWER_DIRECTIONS = 2;
@@ -48,6 +51,7 @@
     private final Measurement measurement;
     private long nextEvent;
     private int open;
+    private long stopNanos;
 
     private record Event(long nanos, long order, Runnable action) implements Comparable<Event> {
         @Override
@@ -147,6 +151,7 @@
             fleet.at(arrival.nanos() + REQUEST_DIRECTIONS * MESSAGE_NANOS, () -> fleet.arrive(arrival));
         }
         fleet.open = arrivals.size();
+        fleet.stopNanos = arrivals.getLast().nanos() + MAX_DRAIN_NANOS;
         fleet.at(REPORT_NANOS, () -> fleet.report(arrivals.getLast().nanos()));
         fleet.runEvents();
         return fleet.measurement;
@@ -158,6 +163,9 @@
 
     private void runEvents() {
         while (open > 0) {
+            if (ticker.nanos() > stopNanos) {
+                throw new IllegalStateException(open + " requests did not end within an hour");
+            }
             long next = events.isEmpty() ? Long.MAX_VALUE : events.peek().nanos;
             for (Node node : nodes) {
                 next = Math.min(next, node.engine.nextEventNanos());
@@ -239,13 +247,20 @@
         at(ticker.nanos() + REPORT_NANOS, () -> report(until));
     }
 
+    private static ReportedLoad.Pending pending(LoadReport load, EngineGate gate) {
+        return new ReportedLoad.Pending(
+                load.pendingPrefillTokens().getOrDefault(0, 0L) + gate.waitingTokens(Lane.SHORT),
+                load.pendingPrefillTokens().getOrDefault(1, 0L) + gate.waitingTokens(Lane.MEDIUM),
+                load.pendingPrefillTokens().getOrDefault(2, 0L) + gate.waitingTokens(Lane.LONG));
+    }
+
     private int reportOf(Node node) {
         LoadReport load = node.engine.load().orElseThrow();
         ReportedLoad reported = new ReportedLoad(
                 load.takenNanos(),
                 load.running() + load.waiting() + node.gate.waitingRequests(),
                 EngineGate.MAX_REQUESTS,
-                load.pendingPrefillTokens() + node.gate.waitingTokens(),
+                pending(load, node.gate),
                 load.kvTokens());
         List<CacheEvent> changes = node.engine.cacheEvents(node.cacheSequence);
         for (RoutingPolicy instance : instances) {
--- a/src/main/java/org/jujuberouter/routing/EndpointState.java
+++ b/src/main/java/org/jujuberouter/routing/EndpointState.java
@@ -12,6 +12,10 @@
     private static final double NANOS_PER_SECOND = 1e9;
     /** Work that no report has confirmed for this long is taken as done. */
     private static final long MAX_UNREPORTED_NANOS = 10_000_000_000L;
+    /** Longest delay in seconds by prompts that are overtaken: half of a step that they fill. */
+    private static final double OVERTAKEN_SECONDS = 0.02;
+
+    private static final int LANES = Lane.values().length;
 
     EndpointSpec spec;
     final long nameHash;
@@ -24,7 +28,7 @@
     private ReportedLoad report;
     private final ArrayDeque<Work> since = new ArrayDeque<>();
     private int sentRequests;
-    private long sentPrefill;
+    private final long[] sentPrefill = new long[LANES];
     private long sentKv;
 
     EndpointState(EndpointSpec spec, long now) {
@@ -41,19 +45,19 @@
         dropSentUntil(newer.takenNanos());
     }
 
-    Work send(long now, long prefillTokens, long kvTokens) {
+    Work send(long now, Lane lane, long prefillTokens, long kvTokens) {
         dropSentUntil(now - MAX_UNREPORTED_NANOS);
-        Work work = new Work(now, prefillTokens, kvTokens);
+        Work work = new Work(now, lane, prefillTokens, kvTokens);
         since.addLast(work);
         sentRequests++;
-        sentPrefill += prefillTokens;
+        sentPrefill[lane.ordinal()] += prefillTokens;
         sentKv += kvTokens;
         return work;
     }
 
     void prefilled(Work work) {
         if (work.counted) {
-            sentPrefill -= work.prefillTokens;
+            sentPrefill[work.lane.ordinal()] -= work.prefillTokens;
             work.prefillTokens = 0;
         }
     }
@@ -65,10 +69,28 @@
         }
     }
 
-    double load(long now, RoutingSettings settings) {
-        double processed = (now - report.takenNanos()) / NANOS_PER_SECOND * settings.prefillTokensPerSecond();
-        return Math.max(0, report.pendingPrefillTokens() - processed)
-                + sentPrefill
+    /** Returns the seconds that a request of the lane is expected to wait here. */
+    double load(long now, Lane lane, RoutingSettings settings) {
+        double rate = spec.prefillTokensPerSecond();
+        double processed = (now - report.takenNanos()) / NANOS_PER_SECOND * rate;
+        double ahead = 0;
+        double overtaken = 0;
+        for (int i = 0; i < LANES; i++) {
+            long reported = switch (i) {
+                case 0 -> report.pending().shortTokens();
+                case 1 -> report.pending().mediumTokens();
+                default -> report.pending().longTokens();
+            };
+            double left = Math.max(0, reported - processed);
+            processed = Math.max(0, processed - reported);
+            if (i <= lane.ordinal()) {
+                ahead += left + sentPrefill[i];
+            } else {
+                overtaken += left + sentPrefill[i];
+            }
+        }
+        return ahead / rate
+                + Math.min(OVERTAKEN_SECONDS, overtaken / rate)
                 + settings.requestCost() * (report.requests() + sentRequests);
     }
 
@@ -86,18 +108,20 @@
     private void uncount(Work work) {
         work.counted = false;
         sentRequests--;
-        sentPrefill -= work.prefillTokens;
+        sentPrefill[work.lane.ordinal()] -= work.prefillTokens;
         sentKv -= work.kvTokens;
     }
 
     /** Work that this instance sent and no report shows yet. */
     static final class Work {
         private final long sentNanos;
+        private final Lane lane;
         private final long kvTokens;
         private long prefillTokens;
         private boolean counted = true;
 
-        private Work(long sentNanos, long prefillTokens, long kvTokens) {
+        private Work(long sentNanos, Lane lane, long prefillTokens, long kvTokens) {
+            this.lane = lane;
             this.sentNanos = sentNanos;
             this.prefillTokens = prefillTokens;
             this.kvTokens = kvTokens;
--- a/src/main/java/org/jujuberouter/routing/PrefixBeliefs.java
+++ b/src/main/java/org/jujuberouter/routing/PrefixBeliefs.java
@@ -8,11 +8,11 @@
  *
  * <p>A belief comes from a cache event or from this instance's own sending. It ends by an event, after a fixed life, and
  * soon after a gap in the endpoint's events, since the lost event may have been the eviction. Only landmark blocks are
- * kept, the least recently used entry is dropped first, and an entry holds at most four endpoints.
+ * kept, the least recently used entry is dropped first, and an entry holds at most eight endpoints.
  */
 final class PrefixBeliefs {
-    /** More holders than this need no affinity: random choices find one of them or load decides. */
-    static final int MAX_HOLDERS = 4;
+    /** Endpoints remembered for a block. */
+    static final int MAX_HOLDERS = 8;
 
     private final Map<Long, Holders> entries;
     private final long lifeNanos;
@@ -49,14 +49,22 @@
         }
     }
 
-    /** Reports the believed holders to the visitor, those of the longest prefix first, until it has enough. */
-    void visitHolders(long[] chain, long now, HolderVisitor visitor) {
+    /**
+     * Reports the believed holders to the visitor, those of the longest prefix first, until it has enough.
+     *
+     * <p>A block with the most holders is skipped: it belongs to a prefix that many endpoints have or soon will have, and
+     * all instances would choose among the few that they remember.
+     *
+     * @param start decides with which holder of a block to begin, so that instances do not all prefer the same one
+     */
+    void visitHolders(long[] chain, long now, int start, HolderVisitor visitor) {
         for (int i = chain.length - 1; i >= 0; i--) {
             Holders entry = PromptBlocks.isLandmark(chain[i]) ? entries.get(chain[i]) : null;
-            if (entry == null) {
+            if (entry == null || entry.size == MAX_HOLDERS) {
                 continue;
             }
-            for (int h = 0; h < entry.size; h++) {
+            for (int k = 0; k < entry.size; k++) {
+                int h = (start + k) % entry.size;
                 if (isAlive(entry, h, now) && !visitor.visit(entry.holders[h], i + 1)) {
                     return;
                 }
@@ -64,6 +72,18 @@
         }
     }
 
+    /** Returns how many leading blocks the endpoint is believed to hold. */
+    int blocksAt(EndpointState endpoint, long[] chain, long now) {
+        for (int i = chain.length - 1; i >= 0; i--) {
+            Holders entry = PromptBlocks.isLandmark(chain[i]) ? entries.get(chain[i]) : null;
+            int h = entry == null ? -1 : entry.indexOf(endpoint);
+            if (h >= 0 && isAlive(entry, h, now)) {
+                return i + 1;
+            }
+        }
+        return 0;
+    }
+
     int size() {
         return entries.size();
     }
--- a/src/main/java/org/jujuberouter/routing/RouteDecision.java
+++ b/src/main/java/org/jujuberouter/routing/RouteDecision.java
@@ -10,17 +10,18 @@
 
 /** One run of the choice that {@link Router} describes. */
 final class RouteDecision {
-    /** Distinguishes endpoints without room from all others; larger than any sum of tokens. */
-    private static final double NO_ROOM_COST = 1e15;
+    /** Distinguishes endpoints without room from all others; longer than any wait in seconds. */
+    private static final double NO_ROOM_COST = 1e9;
     /** The home of a prefix is derived from its first 1,024 tokens, which system prompts usually exceed. */
     private static final int HOME_DEPTH = 4;
 
-    private static final int MAX_HOLDERS_CONSIDERED = 4;
+    private static final int MAX_HOLDERS_CONSIDERED = 2;
 
     private final RoutingSettings settings;
     private final RouteRequest request;
     private final RouteGroup.Pool pool;
     private final long now;
+    private final Lane lane;
     private final long leastKvTokens;
     private final int fit;
     private final List<Option> options = new ArrayList<>();
@@ -32,6 +33,7 @@
         this.request = request;
         this.pool = pool;
         this.now = now;
+        this.lane = Lane.ofPrompt(request.promptTokens());
         this.leastKvTokens = (long) Math.ceil(request.neededTokens() / memoryShare);
         this.fit = RouteGroup.Pool.fitting(pool.all, leastKvTokens);
     }
@@ -41,10 +43,10 @@
             return List.of();
         }
         double bound = settings.affinityFactor() * meanLoad() + settings.affinitySlack();
-        considerHolders(beliefs, bound);
+        considerHolders(beliefs, bound, random.nextInt(PrefixBeliefs.MAX_HOLDERS));
         if (request.blocks().length > 0) {
             EndpointState home = bestScore(request.blocks()[Math.min(HOME_DEPTH, request.blocks().length) - 1]);
-            if (home != null && home.load(now, settings) <= bound) {
+            if (home != null && home.load(now, lane, settings) <= bound) {
                 consider(home, (long) (settings.homeShare() * request.promptTokens()));
             }
         }
@@ -68,11 +70,11 @@
         return ids();
     }
 
-    private void considerHolders(PrefixBeliefs beliefs, double bound) {
+    private void considerHolders(PrefixBeliefs beliefs, double bound, int start) {
         int chain = request.blocks().length;
         Set<EndpointState> visited = new HashSet<>();
-        beliefs.visitHolders(request.blocks(), now, (holder, blocks) -> {
-            if (visited.add(holder) && pool.contains(holder) && holder.load(now, settings) <= bound) {
+        beliefs.visitHolders(request.blocks(), now, start, (holder, blocks) -> {
+            if (visited.add(holder) && pool.contains(holder) && holder.load(now, lane, settings) <= bound) {
                 consider(holder, request.promptTokens() * blocks / chain);
             }
             return visited.size() < MAX_HOLDERS_CONSIDERED;
@@ -101,9 +103,8 @@
                 return;
             }
         }
-        double cost = endpoint.load(now, settings)
-                + request.promptTokens()
-                - cachedTokens
+        double cost = endpoint.load(now, lane, settings)
+                + (request.promptTokens() - cachedTokens) / endpoint.spec.prefillTokensPerSecond()
                 + settings.distanceCost() * settings.distance(endpoint.spec.domain());
         insert(new Option(endpoint, endpoint.hasRoomFor(request.neededTokens()) ? cost : cost + NO_ROOM_COST));
     }
@@ -136,7 +137,7 @@
     private double meanLoad() {
         double sum = 0;
         for (int i = 0; i < fit; i++) {
-            sum += pool.all[i].load(now, settings);
+            sum += pool.all[i].load(now, lane, settings);
         }
         return sum / fit;
     }
--- a/src/main/java/org/jujuberouter/routing/Router.java
+++ b/src/main/java/org/jujuberouter/routing/Router.java
@@ -14,8 +14,8 @@
 /**
  * Orders the endpoints that may serve a request.
  *
- * <p>A few endpoints are compared by their cost in prompt tokens: the load, plus the prompt, less the part of the prompt
- * that is cached, plus a cost of distance. The endpoints compared are
+ * <p>A few endpoints are compared by the expected seconds to the first token: the load that the request would not
+ * overtake, plus the part of the prompt that is not cached, plus a cost of distance. The endpoints compared are
  *
  * <ul>
  *   <li>those believed to hold the longest prefix, and the <em>home</em> of the prefix, which all instances derive by
@@ -139,16 +139,16 @@
             return new DefaultSentWork(null, null);
         }
         long now = ticker.nanos();
-        long[] cached = {0};
-        beliefs.visitHolders(request.blocks(), now, (holder, blocks) -> {
-            if (holder != state) {
-                return true;
-            }
-            cached[0] = request.promptTokens() * blocks / request.blocks().length;
-            return false;
-        });
+        int blocks = beliefs.blocksAt(state, request.blocks(), now);
+        long cached = request.promptTokens() * blocks / Math.max(1, request.blocks().length);
         beliefs.learn(state, request.blocks(), now);
-        return new DefaultSentWork(state, state.send(now, request.promptTokens() - cached[0], request.neededTokens()));
+        return new DefaultSentWork(
+                state,
+                state.send(
+                        now,
+                        Lane.ofPrompt(request.promptTokens()),
+                        request.promptTokens() - cached,
+                        request.neededTokens()));
     }
 
     /** Returns the endpoints to ask for a request, the best first, or why there is none. */
@@ -160,7 +160,7 @@
                     : new RouteResult.UnknownModel(request.placement());
         }
         boolean confined = request.isLong() && settings.longSubset();
-        double memoryShare = confined ? RoutingSettings.LONG_MEMORY_SHARE : 1;
+        double memoryShare = request.isLong() ? RoutingSettings.LONG_MEMORY_SHARE : 1;
         long largest = (long) (group.largestKvTokens * memoryShare);
         if (request.neededTokens() > largest) {
             return new RouteResult.TooLarge(request.neededTokens(), largest);
--- a/src/main/java/org/jujuberouter/routing/RoutingSettings.java
+++ b/src/main/java/org/jujuberouter/routing/RoutingSettings.java
@@ -5,28 +5,26 @@
 import org.jujuberouter.id.FailureDomain;
 
 /**
- * Settings of a router. Costs are given in prompt tokens, so that saved prefill and waiting can be compared.
+ * Settings of a router. Costs are estimates of waiting time in seconds.
  *
  * @param ownDomain the failure domain of this instance
  * @param distances distance of other domains in steps; a domain that is not listed has distance 1
- * @param distanceCost cost of one step of distance
- * @param requestCost cost of a request that runs at the endpoint
- * @param prefillTokensPerSecond rate at which the prompt tokens of an old report are taken as processed
+ * @param distanceCost seconds that one step of distance may save
+ * @param requestCost seconds that each request at the endpoint adds, mostly by longer steps
  * @param affinityFactor affinity holds while the endpoint's load is below this factor of the mean
- * @param affinitySlack load that affinity tolerates above the factor, so that idle fleets keep it
+ * @param affinitySlack seconds of load that affinity tolerates above the factor, so that idle fleets keep it
  * @param homeShare part of a prompt that the home endpoint of its prefix is assumed to hold without evidence
  * @param beliefLife time after which a belief about a cached block ends
  * @param beliefLifeAfterGap remaining life of a belief when cache events were lost after it
- * @param maxBeliefs number of blocks remembered; each takes about 120 bytes
+ * @param maxBeliefs number of blocks remembered; each takes about 220 bytes
  * @param maxCandidates endpoints returned for a request
- * @param longSubset whether long prompts are confined to a third of the endpoints and to {@link #LONG_MEMORY_SHARE}
+ * @param longSubset whether long prompts are confined to a third of the endpoints
  */
 public record RoutingSettings(
         FailureDomain ownDomain,
         Map<FailureDomain, Integer> distances,
         double distanceCost,
         double requestCost,
-        double prefillTokensPerSecond,
         double affinityFactor,
         double affinitySlack,
         double homeShare,
@@ -43,15 +41,14 @@
         return new RoutingSettings(
                 ownDomain,
                 Map.of(),
-                500,
-                64,
-                20_000,
+                0.01,
+                0.003,
                 1.5,
-                4_096,
+                0.2,
                 0.25,
                 Duration.ofMinutes(5),
                 Duration.ofSeconds(10),
-                65_536,
+                32_768,
                 4,
                 true);
     }
@@ -63,7 +60,6 @@
                 Map.copyOf(newDistances),
                 distanceCost,
                 requestCost,
-                prefillTokensPerSecond,
                 affinityFactor,
                 affinitySlack,
                 homeShare,
@@ -81,7 +77,6 @@
                 distances,
                 distanceCost,
                 requestCost,
-                prefillTokensPerSecond,
                 affinityFactor,
                 affinitySlack,
                 homeShare,
--- a/src/main/java/org/jujuberouter/standin/model/EngineModel.java
+++ b/src/main/java/org/jujuberouter/standin/model/EngineModel.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.TreeMap;
 import org.jujuberouter.id.RequestId;
 import org.jujuberouter.misc.Ticker;
 import org.jujuberouter.standin.model.EngineException.Reason;
@@ -433,9 +434,11 @@
         long skipped = Math.max(0, now - clock - settings.loadLag().toNanos()) / interval;
         // While nothing happens all reports are equal, so that only the newest ones have to be taken.
         nextReport = clock + interval * (stepEnd == NEVER && loadEnd == NEVER ? Math.max(1, skipped) : 1);
-        long pending = 0;
+        Map<Integer, Long> pending = new TreeMap<>();
         for (Sequence s : known.values()) {
-            pending += s.pendingPrefill();
+            if (s.pendingPrefill() > 0) {
+                pending.merge(s.request.priority(), s.pendingPrefill(), Long::sum);
+            }
         }
         reports.addLast(new LoadReport(
                 clock,
