--- a/src/test/java/org/jujuberouter/settings/SettingsSimulation.java
+++ b/src/test/java/org/jujuberouter/settings/SettingsSimulation.java
@@ -259,9 +259,11 @@
         private void pull(InstanceId from) {
             note("pull");
             SettingsCache asking = cache;
-            nodes.stream()
-                    .filter(n -> n.id.equals(from) && n.up)
-                    .forEach(n -> at(2, () -> asking.offerFromPeer(n.cache.document())));
+            nodes.stream().filter(n -> n.id.equals(from) && n.up).forEach(n -> {
+                // The document is as old as the reply is late, so a newer one may be in force when it arrives.
+                SettingsDocument sent = n.cache.document();
+                at(random.nextLong(1, 400), () -> asking.offerFromPeer(sent));
+            });
         }
 
         private void repeat(int mine, LongSupplier step) {
