--- /dev/null
+++ b/src/main/java/org/jujuberouter/supervisor/SupervisorException.java
@@ -0,0 +1,26 @@
+package org.jujuberouter.supervisor;
+
+import java.time.Duration;
+
+/** A supervisor could not start its children or gave up restarting them. */
+public class SupervisorException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    private SupervisorException(String message, Throwable cause) {
+        super(message, cause);
+    }
+
+    static SupervisorException startFailed(String supervisor, String child, Throwable cause) {
+        return new SupervisorException(
+                "child \"" + child + "\" of \"" + supervisor + "\" did not start: " + cause, cause);
+    }
+
+    static SupervisorException tooManyRestarts(
+            String supervisor, String child, int max, Duration window, Throwable cause) {
+        String why = cause == null ? "it ended" : cause.toString();
+        return new SupervisorException(
+                "child \"" + child + "\" of \"" + supervisor + "\" ended after " + max + " restarts within "
+                        + window.toMillis() + " ms: " + why,
+                cause);
+    }
+}
