--- /dev/null
+++ b/src/main/java/org/jujuberouter/cli/OperatorCommands.java
@@ -0,0 +1,30 @@
+package org.jujuberouter.cli;
+
+import java.util.List;
+import picocli.AutoComplete;
+import picocli.CommandLine;
+
+/** The operators' commands and the stand-ins of the platform, for the entry point to register. */
+public final class OperatorCommands {
+    private OperatorCommands() {}
+
+    /** Adds all commands to the root command. */
+    public static CommandLine addTo(CommandLine root) {
+        List.of(
+                        new SettingsCommand(),
+                        new ServiceCommand(),
+                        new CustomerCommand(),
+                        new DomainCommand(),
+                        new EndpointCommand(),
+                        new StandinCommand())
+                .forEach(root::addSubcommand);
+        CommandLine completion = new CommandLine(new AutoComplete.GenerateCompletion());
+        completion
+                .getCommandSpec()
+                .usageMessage()
+                .description("Writes a completion script for bash and zsh: source <(jujuberouter completion)");
+        root.addSubcommand("completion", completion);
+        root.setCaseInsensitiveEnumValuesAllowed(true);
+        return root;
+    }
+}
--- a/src/main/java/org/jujuberouter/cli/StandinCommand.java
+++ b/src/main/java/org/jujuberouter/cli/StandinCommand.java
@@ -6,11 +6,8 @@
 import java.util.concurrent.CountDownLatch;
 import org.jujuberouter.standin.ListServer;
 import org.jujuberouter.standin.StoreServer;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
-import picocli.CommandLine.Spec;
 
 /** Runs stand-ins of the outside systems, for trials on one machine. */
 @Command(
@@ -18,16 +15,7 @@
         mixinStandardHelpOptions = true,
         subcommands = {StandinCommand.Store.class, StandinCommand.Members.class},
         description = "Runs a stand-in of an outside system on loopback, for trials and tests.")
-public final class StandinCommand implements Callable<Integer> {
-    @Spec
-    private CommandSpec spec;
-
-    @Override
-    public Integer call() {
-        spec.commandLine().usage(System.err);
-        return CommandLine.ExitCode.USAGE;
-    }
-
+public final class StandinCommand extends GroupCommand {
     /** Keeps a stand-in running until the process is told to end. */
     static void awaitStop(AutoCloseable server) throws InterruptedException {
         CountDownLatch stopped = new CountDownLatch(1);
