Let the simulated watch wait instead of reading every 20 ms

Cause: each of six simulated instances read and decoded the document every 20 ms, which a waiting poll does not do. Change: a step is made only when the revision has changed or the store was lost or came back. Ruled out: steps every 100 ms (33 s, and the decoding still dominated).

--- a/src/test/java/org/jujuberouter/settings/SettingsSimulation.java
+++ b/src/test/java/org/jujuberouter/settings/SettingsSimulation.java
@@ -18,6 +18,7 @@
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.misc.ManualTicker;
 import org.jujuberouter.platform.MemoryPlatformStore;
+import org.jujuberouter.platform.StoreEntry;
 
 /** Operators, instances and a faulty store on a virtual clock; collects every broken promise. */
 final class SettingsSimulation {
@@ -198,6 +199,7 @@
         private int life;
         private long upSinceMs;
         private long storeSinceMs;
+        private long polledRevision;
 
         Node(InstanceId id) {
             this.id = id;
@@ -217,7 +219,8 @@
                 versions.put(ticker.millis(), s.version());
             });
             SettingsWatch watch = SettingsWatch.of(store, cache);
-            repeat(mine, () -> Math.max(20, watch.step().toMillis()));
+            polledRevision = -1;
+            repeat(mine, () -> poll(watch));
             repeat(mine, this::heartbeat);
             repeat(mine, () -> {
                 cache.startPull().ifPresent(this::pull);
@@ -225,6 +228,18 @@
             });
         }
 
+        /** Emulates the waiting poll: it ends at a change or when the store is lost. */
+        private long poll(SettingsWatch watch) {
+            boolean reachable = !away && !store.cut;
+            long revision =
+                    memory.read(SettingsDocument.KEY).map(StoreEntry::revision).orElse(0L);
+            if (reachable && revision == polledRevision) {
+                return 20;
+            }
+            polledRevision = reachable ? revision : -1;
+            return Math.max(20, watch.step().toMillis());
+        }
+
         void restart() {
             note("restart");
             up = false;
