Read escaped label values in metrics and name the fault of a failed scrape

Cause: a customer with a quotation mark appeared with a backslash in the report, and a refused connection was reported as "null". Both were seen in a trial with two metrics addresses, one of them closed.

--- a/src/main/java/org/jujuberouter/cli/SloBurnCommand.java
+++ b/src/main/java/org/jujuberouter/cli/SloBurnCommand.java
@@ -143,7 +143,7 @@
                         }
                         input.addMetrics(uri.toString(), System.currentTimeMillis(), response.body());
                     } catch (IOException e) {
-                        spec.commandLine().getErr().println("no metrics from " + uri + ": " + e.getMessage());
+                        spec.commandLine().getErr().println("no metrics from " + uri + ": " + e);
                     }
                 }
             }
--- a/src/main/java/org/jujuberouter/report/MetricsText.java
+++ b/src/main/java/org/jujuberouter/report/MetricsText.java
@@ -17,6 +17,8 @@
     private static final Pattern SAMPLE = Pattern.compile("([A-Za-z_:][\\w:]*)(?:\\{(.*)})?\\s+(\\S+)(?:\\s+-?\\d+)?");
     private static final Pattern LABEL = Pattern.compile("(\\w+)=\"((?:[^\"\\\\]|\\\\.)*)\"");
 
+    private static final Pattern ESCAPE = Pattern.compile("\\\\([\"\\\\])");
+
     private final Map<Key, Count> requests = new HashMap<>();
     private final Map<String, Map<Key, Map<Double, Long>>> buckets = new HashMap<>();
 
@@ -54,7 +56,7 @@
         Map<String, String> labels = new HashMap<>();
         Matcher label = LABEL.matcher(sample.group(2) == null ? "" : sample.group(2));
         while (label.find()) {
-            labels.put(label.group(1), label.group(2));
+            labels.put(label.group(1), ESCAPE.matcher(label.group(2)).replaceAll("$1"));
         }
         Key key = new Key(labels.getOrDefault("service", "?"), labels.getOrDefault("customer", "?"));
         String name = sample.group(1).substring(PREFIX.length());
--- a/src/test/java/org/jujuberouter/report/BurnReportTest.java
+++ b/src/test/java/org/jujuberouter/report/BurnReportTest.java
@@ -99,6 +99,7 @@
         // 30 answers and 5 failures, then 20 answers after the restart.
         assertEquals(55, burns.path(0).path("requests").asInt());
         assertEquals(5, burns.path(0).path("bad").asInt());
+        assertEquals("customer c \"1\"", burns.path(1).path("scope").asText());
         // 30 first tokens of which 25 in time, then 20 of which 18 in time.
         JsonNode first = burns.path(3);
         assertEquals("first-token", first.path("measure").asText());
@@ -144,7 +145,7 @@
     }
 
     private static String metrics(int whole, int failed, int inTime) {
-        String labels = "service=\"s\",customer=\"c\"";
+        String labels = "service=\"s\",customer=\"c \\\"1\\\"\"";
         return "# TYPE jujuberouter_requests_total counter\n"
                 + "jujuberouter_requests_total{" + labels + ",outcome=\"completed\",status=\"200\"} " + whole + "\n"
                 + "jujuberouter_requests_total{" + labels + ",outcome=\"not-run\",status=\"503\"} " + failed + "\n"
