Register operators' commands and read the entry's flags with all errors at once

Cause: the commands of the platform part were not reachable, and wrong flags were reported one at a time.

--- a/src/main/java/org/jujuberouter/cli/EntryCommand.java
+++ b/src/main/java/org/jujuberouter/cli/EntryCommand.java
@@ -9,77 +9,81 @@
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
 
 /** Runs one entry instance until it is told to stop. */
 @Command(
         name = "entry",
         mixinStandardHelpOptions = true,
-        description = "Runs one entry instance. SIGTERM stops it gracefully: new work is refused as not-run, work in"
-                + " flight finishes.")
+        description = {
+            "Runs one entry instance. SIGTERM stops it gracefully: new work is refused as not-run, work in flight"
+                    + " finishes, and owned endpoints are handed over.",
+            "Each flag can be set by a variable: --drain-timeout-ms by JUJUBEROUTER_DRAIN_TIMEOUT_MS, and so on."
+        },
+        exitCodeList = {"0: stopped as told", "2: wrong flags or variables", "1: it could not start"})
 public final class EntryCommand implements Callable<Integer> {
-    @Option(
-            names = "--instance",
-            required = true,
-            defaultValue = "${env:JUJUBEROUTER_INSTANCE}",
-            description = "Id of this instance (env JUJUBEROUTER_INSTANCE).")
+    private static final int MAX_BODY_BYTES = 16 << 20;
+    private static final int LARGEST_BODY_BYTES = 256 << 20;
+    private static final long DRAIN_TIMEOUT_MS = 900_000;
+    private static final long LONGEST_DRAIN_MS = 3_600_000;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Option(names = "--instance", description = "Id of this instance; letters, digits, dot, dash. Required.")
     private String instance;
 
-    @Option(
-            names = "--domain",
-            required = true,
-            defaultValue = "${env:JUJUBEROUTER_DOMAIN}",
-            description = "Failure domain of this instance (env JUJUBEROUTER_DOMAIN).")
+    @Option(names = "--domain", description = "Failure domain of this instance. Required.")
     private String domain;
 
-    @Option(
-            names = "--listen",
-            defaultValue = "${env:JUJUBEROUTER_LISTEN:-127.0.0.1:8400}",
-            description = "Where callers connect (env JUJUBEROUTER_LISTEN, default 127.0.0.1:8400).")
+    @Option(names = "--listen", description = "IP number and port for callers. Required.")
     private String listen;
 
-    @Option(
-            names = "--peer-listen",
-            defaultValue = "${env:JUJUBEROUTER_PEER_LISTEN:-127.0.0.1:8401}",
-            description = "Where other instances connect (env JUJUBEROUTER_PEER_LISTEN, default 127.0.0.1:8401).")
+    @Option(names = "--peer-listen", description = "IP number and port for other instances. Required.")
     private String peerListen;
 
-    @Option(
-            names = "--store",
-            defaultValue = "${env:JUJUBEROUTER_STORE:-http://127.0.0.1:8500}",
-            description = "Address of the platform store (env JUJUBEROUTER_STORE, default http://127.0.0.1:8500).")
-    private URI store;
+    @Option(names = "--store", description = "Address of the platform store, such as http://10.0.0.9:8500. Required.")
+    private String store;
 
-    @Option(
-            names = "--list",
-            defaultValue = "${env:JUJUBEROUTER_LIST:-http://127.0.0.1:8510}",
-            description = "Address of the platform's list (env JUJUBEROUTER_LIST, default http://127.0.0.1:8510).")
-    private URI list;
+    @Option(names = "--list", description = "Address of the platform's list. Required.")
+    private String list;
 
-    @Option(
-            names = "--max-body-bytes",
-            defaultValue = "${env:JUJUBEROUTER_MAX_BODY_BYTES:-16777216}",
-            description = "Largest request body in bytes (env JUJUBEROUTER_MAX_BODY_BYTES, default 16777216).")
-    private int maxBodyBytes;
+    @Option(names = "--max-body-bytes", description = "Largest request body in bytes (default 16777216).")
+    private String maxBodyBytes;
 
     @Option(
             names = "--drain-timeout-ms",
-            defaultValue = "${env:JUJUBEROUTER_DRAIN_TIMEOUT_MS:-900000}",
-            description = "Longest wait for work in flight at a stop, in milliseconds"
-                    + " (env JUJUBEROUTER_DRAIN_TIMEOUT_MS, default 900000).")
-    private long drainTimeoutMs;
+            description = "Longest wait for work in flight at a stop, in milliseconds (default 900000).")
+    private String drainTimeoutMs;
+
+    @Option(names = "--log-level", description = "error, warning, info or debug (default info).")
+    private String logLevel;
 
     @Override
     public Integer call() throws IOException, InterruptedException {
+        Flags flags = Flags.of(spec.commandLine());
+        String id = flags.text("instance");
+        String at = flags.text("domain");
+        String callers = flags.hostAndPort("listen");
+        String peers = flags.hostAndPort("peer-listen");
+        URI storeAddress = flags.address("store");
+        URI listAddress = flags.address("list");
+        long body = flags.integer("max-body-bytes", MAX_BODY_BYTES, 1024, LARGEST_BODY_BYTES);
+        long drain = flags.integer("drain-timeout-ms", DRAIN_TIMEOUT_MS, 0, LONGEST_DRAIN_MS);
+        LogSetup.LogLevel level = flags.choice("log-level", LogSetup.LogLevel.INFO);
+        flags.check(spec.commandLine());
+        LogSetup.install(level);
         EntryDaemon daemon = EntryDaemon.start(new EntryOptions(
-                InstanceId.of(instance),
-                FailureDomain.of(domain),
-                EntryOptions.parseAddress(listen),
-                EntryOptions.parseAddress(peerListen),
-                store,
-                list,
-                maxBodyBytes,
-                Duration.ofMillis(drainTimeoutMs)));
+                InstanceId.of(id),
+                FailureDomain.of(at),
+                EntryOptions.parseAddress(callers),
+                EntryOptions.parseAddress(peers),
+                storeAddress,
+                listAddress,
+                (int) body,
+                Duration.ofMillis(drain)));
         System.out.println("entry at http:/" + daemon.address() + ", peers at " + daemon.peerAddress());
         StandinCommand.awaitStop(daemon);
         return 0;
--- a/src/main/java/org/jujuberouter/cli/Main.java
+++ b/src/main/java/org/jujuberouter/cli/Main.java
@@ -9,15 +9,15 @@
         name = "jujuberouter",
         mixinStandardHelpOptions = true,
         version = "jujuberouter 0.1.0",
-        subcommands = {DemoCommand.class, EntryCommand.class, StandinCommand.class},
+        subcommands = {DemoCommand.class, EntryCommand.class, ExperimentCommand.class},
         description = "Serves prompts of a thousand to a million tokens through many endpoints.")
 public final class Main implements Callable<Integer> {
     private Main() {}
 
     /** Runs the subcommand that the arguments name and exits with its code. */
     public static void main(String[] args) {
-        System.exit(new CommandLine(new Main())
-                .addSubcommand(LoadCommand.of())
+        CommandLine root = OperatorCommands.addTo(new CommandLine(new Main()));
+        System.exit(root.addSubcommand(LoadCommand.of())
                 .addSubcommand(MeasurePeerCommand.of())
                 .addSubcommand(ReplayCommand.of())
                 .addSubcommand(ReportCommand.of())
--- a/src/main/java/org/jujuberouter/entry/Fleet.java
+++ b/src/main/java/org/jujuberouter/entry/Fleet.java
@@ -54,8 +54,13 @@
      * @param model the model it has loaded
      * @param memoryTokens its memory
      * @param state one of the state words
+     * @param pending prompt tokens still to process
      */
-    record Facts(String model, long memoryTokens, String state) {}
+    record Facts(String model, long memoryTokens, String state, ReportedLoad.Pending pending) {
+        static Facts unknown() {
+            return new Facts("", 0, SERVING, ReportedLoad.Pending.withoutLanes(0));
+        }
+    }
 
     Router router() {
         return router;
@@ -106,9 +111,14 @@
     /** Takes a report that this instance read from an endpoint that it owns. */
     void reported(EndpointId endpoint, JsonNode load) {
         String state = load.path("leaving").asBoolean() ? LEAVING : SERVING;
+        JsonNode byPriority = load.path("pending_prefill_tokens");
+        ReportedLoad.Pending pending = new ReportedLoad.Pending(
+                byPriority.path("0").asLong(),
+                byPriority.path("1").asLong(),
+                byPriority.path("2").asLong());
         facts.put(
                 endpoint,
-                new Facts(load.path("model").asText(), load.path("kv_limit").asLong(), state));
+                new Facts(load.path("model").asText(), load.path("kv_limit").asLong(), state, pending));
         refresh(endpoint);
         router.reportLoad(
                 endpoint,
@@ -118,13 +128,17 @@
                         load.path("cold").asBoolean()
                                 ? load.path("cold_slots").asInt()
                                 : load.path("slots").asInt(),
-                        load.path("pending_prefill_tokens").asLong(),
+                        pending,
                         load.path("kv_tokens").asLong()));
     }
 
     /** Takes what the owner of an endpoint says in its heartbeat. */
     void heard(PeerMessage.EndpointDigest digest) {
-        facts.put(digest.endpoint(), new Facts(digest.model(), digest.memoryTokens(), digest.state()));
+        List<Long> lanes = digest.pendingTokens();
+        ReportedLoad.Pending pending = lanes.size() < 3
+                ? ReportedLoad.Pending.withoutLanes(0)
+                : new ReportedLoad.Pending(lanes.get(0), lanes.get(1), lanes.get(2));
+        facts.put(digest.endpoint(), new Facts(digest.model(), digest.memoryTokens(), digest.state(), pending));
         refresh(digest.endpoint());
         router.reportLoad(
                 digest.endpoint(),
@@ -132,13 +146,13 @@
                         ticker.nanos(),
                         Math.toIntExact(digest.usedSlots()),
                         Math.toIntExact(Math.min(Integer.MAX_VALUE, digest.boundSlots())),
-                        0,
+                        pending,
                         digest.usedTokens()));
     }
 
     /** Notes that an endpoint does not answer. */
     void down(EndpointId endpoint) {
-        facts.computeIfPresent(endpoint, (_, f) -> new Facts(f.model(), f.memoryTokens(), DOWN));
+        facts.computeIfPresent(endpoint, (_, f) -> new Facts(f.model(), f.memoryTokens(), DOWN, f.pending()));
         refresh(endpoint);
     }
 
@@ -165,13 +179,13 @@
         FailureDomain domain = FailureDomain.of(member.domain());
         ServiceName service = ServiceName.of(member.service());
         if (member.role() == ListedMember.Role.PLAIN) {
-            return Optional.of(new EndpointSpec(endpoint, domain, Set.of(Placement.plain(service)), Long.MAX_VALUE));
+            return Optional.of(EndpointSpec.of(endpoint, domain, Set.of(Placement.plain(service)), Long.MAX_VALUE));
         }
         if (known == null || known.model().isBlank()) {
             return Optional.empty();
         }
         Placement placement = Placement.of(service, ModelName.of(known.model()), "", "");
-        return Optional.of(new EndpointSpec(endpoint, domain, Set.of(placement), known.memoryTokens()));
+        return Optional.of(EndpointSpec.of(endpoint, domain, Set.of(placement), known.memoryTokens()));
     }
 
     private EndpointCondition condition(EndpointId endpoint, ListedMember member, Facts known) {
--- a/src/main/java/org/jujuberouter/entry/InstanceRuntime.java
+++ b/src/main/java/org/jujuberouter/entry/InstanceRuntime.java
@@ -250,7 +250,7 @@
     }
 
     private Optional<PeerMessage.EndpointDigest> digest(EndpointId endpoint) {
-        Fleet.Facts facts = fleet.facts(endpoint).orElse(new Fleet.Facts("", 0, Fleet.SERVING));
+        Fleet.Facts facts = fleet.facts(endpoint).orElse(Fleet.Facts.unknown());
         return desk.book(endpoint).map(EndpointBook::figures).map(f -> digest(endpoint, f, facts));
     }
 
@@ -263,7 +263,11 @@
                 Math.max(0, f.bound().tokens()),
                 facts.state(),
                 facts.model(),
-                facts.memoryTokens());
+                facts.memoryTokens(),
+                List.of(
+                        facts.pending().shortTokens(),
+                        facts.pending().mediumTokens(),
+                        facts.pending().longTokens()));
     }
 
     /** Asks all endpoints that this instance owns, each on a thread of its own. */
--- a/src/main/java/org/jujuberouter/peer/FieldWriter.java
+++ b/src/main/java/org/jujuberouter/peer/FieldWriter.java
@@ -125,7 +125,7 @@
         type(PeerCodec.HEARTBEAT, 5).number(m.sequence()).number(m.settingsVersion());
         list("endpoints", PeerCodec.MAX_ENDPOINTS, m.endpoints());
         for (EndpointDigest e : m.endpoints()) {
-            out.packArrayHeader(8);
+            out.packArrayHeader(9);
             text(e.endpoint())
                     .number(e.usedSlots())
                     .number(e.boundSlots())
@@ -134,6 +134,10 @@
                     .text(e.state())
                     .text(e.model())
                     .number(e.memoryTokens());
+            list("pending tokens", PeerCodec.MAX_LANES, e.pendingTokens());
+            for (long tokens : e.pendingTokens()) {
+                number(tokens);
+            }
         }
         list("demand", PeerCodec.MAX_DEMAND, m.demand());
         for (DemandDigest d : m.demand()) {
--- a/src/main/java/org/jujuberouter/peer/PeerCodec.java
+++ b/src/main/java/org/jujuberouter/peer/PeerCodec.java
@@ -75,6 +75,9 @@
     /** The most fingerprints in a crash notice. */
     public static final int MAX_FINGERPRINTS = 2048;
 
+    /** The most lanes of which a digest tells the pending tokens. */
+    public static final int MAX_LANES = 8;
+
     /** The most crashes that one message names for a fingerprint; two convict it. */
     public static final int MAX_CRASHES = 64;
 
@@ -253,7 +256,7 @@
         long sequence = in.number("sequence");
         long version = in.number("settings version");
         List<EndpointDigest> endpoints =
-                in.list("endpoints", MAX_ENDPOINTS, e -> e.group("endpoint digest", 8, PeerCodec::endpointDigest));
+                in.list("endpoints", MAX_ENDPOINTS, e -> e.group("endpoint digest", 9, PeerCodec::endpointDigest));
         List<DemandDigest> demand = in.list("demand", MAX_DEMAND, e -> e.group("demand digest", 6, PeerCodec::demand));
         return new Heartbeat(sequence, version, endpoints, demand, in.flag());
     }
@@ -267,7 +270,8 @@
                 in.number("bound of tokens"),
                 in.text("state"),
                 in.text("model"),
-                in.number("memory in tokens"));
+                in.number("memory in tokens"),
+                in.list("pending tokens", MAX_LANES, e -> e.number("pending tokens")));
     }
 
     private static DemandDigest demand(FieldReader in) throws IOException, PeerException {
--- a/src/main/java/org/jujuberouter/peer/PeerMessage.java
+++ b/src/main/java/org/jujuberouter/peer/PeerMessage.java
@@ -63,6 +63,7 @@
      * @param state whether it serves, in a short stable word
      * @param model the model it has loaded; empty for a plain service or when it is not known
      * @param memoryTokens its whole memory in tokens
+     * @param pendingTokens prompt tokens still to process in the short, medium and long lane
      */
     record EndpointDigest(
             EndpointId endpoint,
@@ -72,7 +73,13 @@
             long boundTokens,
             String state,
             String model,
-            long memoryTokens) {}
+            long memoryTokens,
+            List<Long> pendingTokens) {
+        /** Copies the list. */
+        public EndpointDigest {
+            pendingTokens = List.copyOf(pendingTokens);
+        }
+    }
 
     /**
      * The recent demand of one customer at the sender.
--- a/src/main/java/org/jujuberouter/peer/PeerSamples.java
+++ b/src/main/java/org/jujuberouter/peer/PeerSamples.java
@@ -52,8 +52,8 @@
 
     /** Returns at least one message of each kind. */
     public static List<PeerMessage> all() {
-        EndpointDigest endpoint =
-                new EndpointDigest(ENDPOINT, 11, 32, 412_000, 1_600_000, "serving", "tray-70b", 1_800_000);
+        EndpointDigest endpoint = new EndpointDigest(
+                ENDPOINT, 11, 32, 412_000, 1_600_000, "serving", "tray-70b", 1_800_000, List.of(9_000L, 0L, 60_000L));
         DemandDigest demand = new DemandDigest(CUSTOMER, ServiceName.of("assistant"), 12.5, 41_000.25, 1, 0);
         HeldPermit permit = new HeldPermit(90_001, REQUEST, HOLDER, 7_800, 8_312, "short", CUSTOMER, FINGERPRINT);
         return List.of(
--- a/src/main/java/org/jujuberouter/standin/EngineServer.java
+++ b/src/main/java/org/jujuberouter/standin/EngineServer.java
@@ -263,13 +263,16 @@
         report.ifPresent(r -> load.put("cold", r.cold())
                 .put("running", r.running())
                 .put("waiting", r.waiting())
-                .put("pending_prefill_tokens", r.pendingPrefillTokens())
                 .put("kv_tokens", r.kvTokens())
                 .put("held_bytes", r.heldBytes())
                 .put("model", r.loaded().model())
                 .put("adapter", r.loaded().adapter())
                 .put("version", r.loaded().version())
                 .put("role", r.role().name().toLowerCase(Locale.ROOT)));
+        report.ifPresent(r -> {
+            ObjectNode pending = load.putObject("pending_prefill_tokens");
+            r.pendingPrefillTokens().forEach((priority, tokens) -> pending.put(priority.toString(), tokens));
+        });
         return load;
     }
 
