Pull settings from the peer heard from last

The trace shows three of the four peers that had the version dying within 50 ms; the pulls went to them in order of id, each waiting 1 s. Change: of the peers that are ahead and not tried yet, the one heard from last is asked. A peer that died is soon the one heard from longest ago.

--- a/src/main/java/org/jujuberouter/settings/SettingsCache.java
+++ b/src/main/java/org/jujuberouter/settings/SettingsCache.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.jujuberouter.id.InstanceId;
@@ -26,12 +28,12 @@
 
     private final Ticker ticker;
     private final List<Consumer<Settings>> listeners = new ArrayList<>();
-    private final Map<InstanceId, Long> ahead = new TreeMap<>();
+    private final Map<InstanceId, Ahead> ahead = new TreeMap<>();
+    private final Set<InstanceId> tried = new HashSet<>();
     private SettingsDocument document = SettingsDocument.empty();
     private Settings settings = Settings.of(document);
     private long behindSince;
     private long pulledAt;
-    private InstanceId lastPulled;
     private String problem = "";
 
     private SettingsCache(Ticker ticker) {
@@ -106,7 +108,7 @@
         if (ahead.isEmpty()) {
             behindSince = ticker.nanos();
         }
-        ahead.put(peer, version);
+        ahead.put(peer, new Ahead(version, ticker.nanos()));
     }
 
     /** Forgets a peer that is gone. */
@@ -117,7 +119,8 @@
     /**
      * Returns the peer to pull the document from now, if a pull is due; counts it as started.
      *
-     * <p>Among peers that are ahead, the turn passes on at each pull, so that one silent peer does not hold it up. An
+     * <p>Of the peers that are ahead and were not tried yet, the one heard from last is asked: a peer that died is soon the
+     * one heard from longest ago, and a silent one does not hold up the pull. When all were tried, the turn starts again. An
      * instance that is not ready does not wait for the store.
      */
     public synchronized Optional<InstanceId> startPull() {
@@ -127,13 +130,17 @@
             return Optional.empty();
         }
         pulledAt = now;
-        List<InstanceId> peers = new ArrayList<>(ahead.keySet());
-        int next = 0;
-        while (lastPulled != null && next < peers.size() && peers.get(next).compareTo(lastPulled) <= 0) {
-            next++;
+        if (tried.containsAll(ahead.keySet())) {
+            tried.clear();
         }
-        lastPulled = peers.get(next % peers.size());
-        return Optional.of(lastPulled);
+        InstanceId best = null;
+        for (InstanceId peer : ahead.keySet()) {
+            boolean later = best == null
+                    || ahead.get(peer).heardNanos() - ahead.get(best).heardNanos() > 0;
+            best = later && !tried.contains(peer) ? peer : best;
+        }
+        tried.add(best);
+        return Optional.of(best);
     }
 
     private boolean accept(SettingsDocument offered) {
@@ -142,7 +149,8 @@
         }
         document = offered;
         settings = Settings.of(offered);
-        ahead.values().removeIf(v -> v <= offered.version());
+        ahead.values().removeIf(a -> a.version() <= offered.version());
+        tried.clear();
         pulledAt = ticker.nanos() - PULL_TIMEOUT.toNanos();
         listeners.forEach(l -> l.accept(settings));
         return true;
@@ -163,4 +171,6 @@
     private static String lastId(SettingsDocument document) {
         return document.last().map(ChangeRecord::changeId).orElse("");
     }
+
+    private record Ahead(long version, long heardNanos) {}
 }
--- a/src/test/java/org/jujuberouter/settings/SettingsSimulation.java
+++ b/src/test/java/org/jujuberouter/settings/SettingsSimulation.java
@@ -212,6 +212,7 @@
             versions.clear();
             cache = SettingsCache.create(ticker);
             int mine = life;
+            polledRevision = -1;
             cache.addListener(s -> {
                 if (!versions.isEmpty() && versions.lastEntry().getValue() >= s.version()) {
                     broken.add(id + " went back to version " + s.version());
@@ -219,7 +220,6 @@
                 versions.put(ticker.millis(), s.version());
             });
             SettingsWatch watch = SettingsWatch.of(store, cache);
-            polledRevision = -1;
             repeat(mine, () -> poll(watch));
             repeat(mine, this::heartbeat);
             repeat(mine, () -> {
@@ -273,11 +273,15 @@
 
         private void pull(InstanceId from) {
             note("pull");
-            SettingsCache asking = cache;
+            int mine = life;
             nodes.stream().filter(n -> n.id.equals(from) && n.up).forEach(n -> {
                 // The document is as old as the reply is late, so a newer one may be in force when it arrives.
                 SettingsDocument sent = n.cache.document();
-                at(random.nextLong(1, 400), () -> asking.offerFromPeer(sent));
+                at(random.nextLong(1, 400), () -> {
+                    if (life == mine) {
+                        cache.offerFromPeer(sent);
+                    }
+                });
             });
         }
 
--- a/src/test/java/org/jujuberouter/settings/SettingsTest.java
+++ b/src/test/java/org/jujuberouter/settings/SettingsTest.java
@@ -153,6 +153,14 @@
         assertEquals(Optional.of(PEER_A), cache.startPull());
     }
 
+    @Test
+    void asksThePeerHeardFromLastSoThatDeadOnesDoNotHoldItUp() {
+        cache.observePeer(PEER_A, 1);
+        ticker.advance(Duration.ofSeconds(1));
+        cache.observePeer(PEER_B, 1);
+        assertEquals(Optional.of(PEER_B), cache.startPull());
+    }
+
     @Test
     void doesNotPullAnOlderVersionFromAPeerThatDied() {
         cache.observePeer(PEER_A, 5);
