Free permits that a holder lost track of, and hand books over through the admission package

Cause: a grant whose reply came after the holder's timeout stayed counted; the holder's periodic report could free a grant whose reply was on its way. Change: the owner asks holders, with a time one permit life back that the report repeats; books are kept and handed over by EndpointBooks; a failed permit has the endpoint asked at once. The process test read the control address of the store stand-in because its pattern was greedy.

--- a/src/main/java/org/jujuberouter/entry/EndpointMonitor.java
+++ b/src/main/java/org/jujuberouter/entry/EndpointMonitor.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.jujuberouter.admission.Capacity;
-import org.jujuberouter.admission.EndpointBook;
 import org.jujuberouter.admission.EndpointReport;
 import org.jujuberouter.admission.EngineRequest;
 import org.jujuberouter.engine.EngineClient;
@@ -128,10 +127,6 @@
     }
 
     private void reconcile(EndpointId endpoint, String address) throws EngineException {
-        EndpointBook book = desk.book(endpoint).orElse(null);
-        if (book == null) {
-            return;
-        }
         long asked = ticker.nanos();
         JsonNode rows = engines.read(address, "/requests", TIMEOUT).path("requests");
         Map<RequestId, RequestId> atEngine = new HashMap<>();
--- a/src/main/java/org/jujuberouter/entry/EntryDaemon.java
+++ b/src/main/java/org/jujuberouter/entry/EntryDaemon.java
@@ -35,8 +35,9 @@
 public final class EntryDaemon implements AutoCloseable {
     private static final Logger LOG = System.getLogger(EntryDaemon.class.getName());
     private static final Duration LIST_PERIOD = Duration.ofMillis(500);
+    private static final Duration PULL_PERIOD = Duration.ofMillis(100);
     private static final Duration SETTLE_PERIOD = Duration.ofSeconds(1);
-    private static final Duration HELD_REPORT_PERIOD = Duration.ofSeconds(2);
+    private static final Duration HELD_QUERY_PERIOD = Duration.ofSeconds(2);
     private static final Duration EXPIRE_PERIOD = Duration.ofSeconds(5);
     private static final Duration STOP_POLL = Duration.ofMillis(50);
 
@@ -90,9 +91,10 @@
         every("ownership", Ownership.TICK_PERIOD, runtime::tickOwnership);
         every("membership", Membership.HEARTBEAT_PERIOD, runtime::tickMembership);
         every("heartbeat", Membership.HEARTBEAT_PERIOD, runtime::sendHeartbeat);
+        every("settings-pull", PULL_PERIOD, runtime::pullSettings);
         every("endpoints", EndpointMonitor.PERIOD, runtime::askEndpoints);
-        every("permits", EndpointBook.TICK_PERIOD, runtime.desk::tick);
-        every("held-permits", HELD_REPORT_PERIOD, runtime::reportHeldPermits);
+        every("permits", EndpointBook.TICK_PERIOD, runtime::tickPermits);
+        every("held-permits", HELD_QUERY_PERIOD, runtime::queryHolders);
         every("once-records", SETTLE_PERIOD, runtime.once::settle);
         every("expiry", EXPIRE_PERIOD, runtime.consent::expire);
         Thread.ofVirtual().name("convictions").start(runtime::readConvictions);
--- a/src/main/java/org/jujuberouter/entry/InferenceRun.java
+++ b/src/main/java/org/jujuberouter/entry/InferenceRun.java
@@ -302,6 +302,9 @@
         } finally {
             work.ended();
             runtime.broker.release(endpoint, granted.permit().permit(), end);
+            if (end == PermitEnd.FAILED) {
+                runtime.askNow(endpoint);
+            }
         }
     }
 
--- a/src/main/java/org/jujuberouter/entry/InstanceRuntime.java
+++ b/src/main/java/org/jujuberouter/entry/InstanceRuntime.java
@@ -11,12 +11,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
 import org.jujuberouter.admission.BookFigures;
-import org.jujuberouter.admission.EndpointBook;
+import org.jujuberouter.admission.EndpointBooks;
+import org.jujuberouter.admission.Handover;
 import org.jujuberouter.admission.Holders;
 import org.jujuberouter.admission.Mandate;
+import org.jujuberouter.admission.Permit;
+import org.jujuberouter.admission.PermitRequest;
 import org.jujuberouter.engine.EngineClient;
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
@@ -63,7 +68,7 @@
 
     final Ticker ticker = Ticker.system();
     final EngineClient engines = EngineClient.create();
-    final PermitDesk desk = PermitDesk.empty();
+    final PermitDesk desk;
     final CrashEvidence evidence = CrashEvidence.empty(ticker);
     final MemoryLedger memory = MemoryLedger.of(MemoryBounds.standard(), ticker);
     final RetryBudget retries = RetryBudget.full();
@@ -97,6 +102,7 @@
         membership = Membership.of(ticker, self, options.domain());
         registration = Registration.of(ticker, store, self, options.domain().value(), new SplittableRandom(seed));
         ownership = Ownership.of(ticker, store, registration, this);
+        desk = PermitDesk.of(EndpointBooks.of(ticker, this::mandate, this, this::isEngine));
         once = OnceRecords.of(store, ticker);
         limits = LimitKeeper.of(self, ticker);
         watch = SettingsWatch.of(store, settings);
@@ -136,7 +142,7 @@
         next.customers()
                 .forEach(c ->
                         memory.setCustomerBound(c, next.integer(new SettingTarget.Customer(c), "limits.bytes-held")));
-        desk.books().forEach(b -> desk.on(b.endpoint(), book -> book.drain(fleet.isDrained(b.endpoint()))));
+        drain();
         LOG.log(Level.INFO, "[settings] Version {0} is in force.", next.version());
     }
 
@@ -168,19 +174,13 @@
                 .filter(r -> !r.name().equals(options.instance().value()))
                 .map(r -> EntryOptions.parseAddress(r.address()))
                 .toList());
-        fleet.endpoints().forEach(this::openBook);
+        drain();
         listRead = true;
     }
 
-    private void openBook(EndpointId endpoint, ListedMember member) {
-        if (desk.book(endpoint).isPresent()) {
-            return;
-        }
-        EndpointBook book = member.role() == ListedMember.Role.ENGINE
-                ? EndpointBook.ofEngine(ticker, endpoint, () -> mandate(endpoint), this)
-                : EndpointBook.ofPlainService(ticker, endpoint, () -> mandate(endpoint), this);
-        book.drain(fleet.isDrained(endpoint));
-        desk.open(book);
+    private boolean isEngine(EndpointId endpoint) {
+        ListedMember member = fleet.endpoints().get(endpoint);
+        return member == null || member.role() == ListedMember.Role.ENGINE;
     }
 
     private Mandate mandate(EndpointId endpoint) {
@@ -199,22 +199,33 @@
         });
         for (Released released : ownership.tick(fleet.endpoints().keySet())) {
             monitor.forget(released.endpoint());
-            if (released.next() != null) {
-                handOver(released);
-            }
         }
     }
 
-    private void handOver(Released released) {
-        List<PeerMessage.HeldPermit> permits = desk.book(released.endpoint())
-                .map(b -> b.permits().stream()
-                        .map(p -> PermitWire.toMessage(p.request(), p.serial()))
-                        .toList())
-                .orElse(List.of());
+    private void drain() {
+        desk.drain(
+                fleet.endpoints().keySet().stream().filter(fleet::isDrained).collect(Collectors.toUnmodifiableSet()));
+    }
+
+    void tickPermits() {
+        for (Handover handover : desk.tick()) {
+            List<PeerMessage.HeldPermit> permits = handover.permits().stream()
+                    .map(p -> PermitWire.toMessage(p.request(), p.serial()))
+                    .toList();
+            send(handover.next(), new PeerMessage.Handover(handover.endpoint(), handover.fence(), permits));
+        }
+    }
+
+    private void send(InstanceId to, PeerMessage message) {
         try {
-            network.send(released.next(), new PeerMessage.Handover(released.endpoint(), released.fence(), permits));
+            network.send(to, message);
         } catch (PeerException e) {
-            LOG.log(Level.INFO, "[ownership] Handover of {0} was not sent: {1}", released.endpoint(), e.getMessage());
+            LOG.log(
+                    Level.DEBUG,
+                    "[peer] {0} was not sent to {1}: {2}",
+                    message.getClass().getSimpleName(),
+                    to,
+                    e.getMessage());
         }
     }
 
@@ -233,25 +244,20 @@
         PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(
                 heartbeats.incrementAndGet(),
                 settings.version(),
-                ownership.owned().stream()
-                        .map(this::digest)
-                        .flatMap(Optional::stream)
-                        .toList(),
+                ownership.owned().stream().map(this::digest).toList(),
                 LimitWire.toMessage(limits.announce()),
                 leaving);
         network.broadcast(heartbeat, membership.peers());
-        settings.startPull().ifPresent(peer -> {
-            try {
-                network.send(peer, new PeerMessage.SettingsPull(settings.version()));
-            } catch (PeerException e) {
-                LOG.log(Level.DEBUG, "[settings] Pull from {0} was not sent: {1}", peer, e.getMessage());
-            }
-        });
     }
 
-    private Optional<PeerMessage.EndpointDigest> digest(EndpointId endpoint) {
+    /** Asks a peer for newer settings when the store has not brought them. */
+    void pullSettings() {
+        settings.startPull().ifPresent(peer -> send(peer, new PeerMessage.SettingsPull(settings.version())));
+    }
+
+    private PeerMessage.EndpointDigest digest(EndpointId endpoint) {
         Fleet.Facts facts = fleet.facts(endpoint).orElse(Fleet.Facts.unknown());
-        return desk.book(endpoint).map(EndpointBook::figures).map(f -> digest(endpoint, f, facts));
+        return digest(endpoint, desk.book(endpoint).figures(), facts);
     }
 
     private static PeerMessage.EndpointDigest digest(EndpointId endpoint, BookFigures f, Fleet.Facts facts) {
@@ -280,13 +286,29 @@
         }
     }
 
-    /** Names the permits held here to the owners of endpoints that keep no list of their own. */
-    void reportHeldPermits() {
-        fleet.endpoints().forEach((endpoint, member) -> {
-            if (member.role() == ListedMember.Role.PLAIN) {
-                broker.reportHeld(endpoint);
+    /**
+     * Asks the holders of permits for endpoints owned here which of them they still have.
+     *
+     * <p>The time in the query lies a permit's life back. A holder that got a permit before it either names the permit or
+     * cannot use it any more, whatever connection the grant went over.
+     */
+    void queryHolders() {
+        long asked = ticker.nanos() - Permit.LIFE.toNanos();
+        for (EndpointId endpoint : ownership.owned()) {
+            Set<Incarnation> holders = desk.book(endpoint).permits().stream()
+                    .filter(p -> p.grantedNanos() - asked < 0)
+                    .map(p -> p.request().holder())
+                    .collect(Collectors.toUnmodifiableSet());
+            for (Incarnation holder : holders) {
+                if (holder.equals(self())) {
+                    List<PermitRequest> held =
+                            broker.held(endpoint).stream().map(Permit::request).toList();
+                    desk.on(endpoint, b -> b.holderReport(holder, held, asked));
+                } else {
+                    send(holder.instance(), new PeerMessage.HolderQuery(endpoint, asked));
+                }
             }
-        });
+        }
     }
 
     /** Reads convictions that were made before this instance started. */
@@ -297,12 +319,10 @@
     @Override
     public void crashed(EndpointId endpoint) {
         fleet.down(endpoint);
-        List<Fingerprint> inFlight = desk.book(endpoint)
-                .map(b -> b.permits().stream()
-                        .map(p -> p.request().fingerprint())
-                        .distinct()
-                        .toList())
-                .orElse(List.of());
+        List<Fingerprint> inFlight = desk.book(endpoint).permits().stream()
+                .map(p -> p.request().fingerprint())
+                .distinct()
+                .toList();
         if (inFlight.isEmpty()) {
             return;
         }
@@ -323,6 +343,14 @@
         return endpoint + "@" + monitor.boot(endpoint);
     }
 
+    /** Asks an endpoint at once, because a holder lost its connection there. */
+    void askNow(EndpointId endpoint) {
+        ListedMember member = fleet.endpoints().get(endpoint);
+        if (member != null && ownership.owned().contains(endpoint)) {
+            Thread.ofVirtual().start(() -> monitor.ask(member));
+        }
+    }
+
     void receiveCrash(PeerMessage.CrashNotice m) {
         fleet.down(m.endpoint());
         Convictions.write(store, evidence.merge(RunConsent.notice(m)));
--- a/src/main/java/org/jujuberouter/entry/PeerInbox.java
+++ b/src/main/java/org/jujuberouter/entry/PeerInbox.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.jujuberouter.admission.Decision;
 import org.jujuberouter.admission.Permit;
+import org.jujuberouter.admission.PermitEnd;
 import org.jujuberouter.admission.PermitRef;
 import org.jujuberouter.admission.PermitRequest;
 import org.jujuberouter.admission.Refusal;
@@ -48,12 +49,20 @@
             case PeerMessage.PermitRequest m -> permit(from, m);
             case PeerMessage.PermitStage m -> stage(m);
             case PeerMessage.PermitRelease m -> release(m);
+            case PeerMessage.HolderQuery m ->
+                reply(
+                        from,
+                        new PeerMessage.HolderReport(
+                                m.endpoint(),
+                                m.askedNanos(),
+                                runtime.broker.held(m.endpoint()).stream()
+                                        .map(p -> PermitWire.toMessage(p.request(), p.serial()))
+                                        .toList()));
             case PeerMessage.HolderReport m -> {
-                long now = runtime.ticker.nanos();
                 List<PermitRequest> held = PermitWire.fromMessage(m.permits(), 0, runtime.ticker).stream()
                         .map(Permit::request)
                         .toList();
-                runtime.desk.on(m.endpoint(), b -> b.holderReport(from.peer(), held, now));
+                runtime.desk.on(m.endpoint(), b -> b.holderReport(from.peer(), held, m.askedNanos()));
             }
             case PeerMessage.Handover m -> handover(m);
             case PeerMessage.CrashNotice m -> runtime.receiveCrash(m);
@@ -121,7 +130,11 @@
             return;
         }
         PermitRef permit = new PermitRef(m.request(), m.fencingNumber(), m.permitId());
-        runtime.desk.release(m.endpoint(), permit, PermitWire.fromMessage(m.ending()));
+        PermitEnd end = PermitWire.fromMessage(m.ending());
+        runtime.desk.release(m.endpoint(), permit, end);
+        if (end == PermitEnd.FAILED) {
+            runtime.askNow(m.endpoint());
+        }
     }
 
     private void handover(PeerMessage.Handover m) {
--- a/src/main/java/org/jujuberouter/entry/PermitBroker.java
+++ b/src/main/java/org/jujuberouter/entry/PermitBroker.java
@@ -199,15 +199,12 @@
                 new PeerMessage.PermitRelease(0, 0, endpoint, request.id(), PeerMessage.Ending.UNUSED));
     }
 
-    /** Names all permits held for an endpoint to its owner, so that releases that were lost do no lasting harm. */
-    void reportHeld(EndpointId endpoint) {
-        List<PeerMessage.HeldPermit> permits = held.values().stream()
+    /** Returns all permits held for an endpoint. */
+    List<Permit> held(EndpointId endpoint) {
+        return held.values().stream()
                 .filter(h -> h.endpoint().equals(endpoint))
-                .map(h -> PermitWire.toMessage(h.permit().request(), h.permit().serial()))
+                .map(Held::permit)
                 .toList();
-        if (ownership.standing(endpoint) instanceof Standing.NotOwner notOwner) {
-            notOwner.hint().ifPresent(owner -> send(owner, new PeerMessage.HolderReport(endpoint, permits)));
-        }
     }
 
     private void tell(EndpointId endpoint, Runnable here, PeerMessage message) {
--- a/src/main/java/org/jujuberouter/entry/PermitDesk.java
+++ b/src/main/java/org/jujuberouter/entry/PermitDesk.java
@@ -1,9 +1,8 @@
 package org.jujuberouter.entry;
 
 import java.time.Duration;
-import java.util.Collection;
+import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -12,10 +11,11 @@
 import org.jujuberouter.admission.Answer;
 import org.jujuberouter.admission.Decision;
 import org.jujuberouter.admission.EndpointBook;
+import org.jujuberouter.admission.EndpointBooks;
+import org.jujuberouter.admission.Handover;
 import org.jujuberouter.admission.PermitEnd;
 import org.jujuberouter.admission.PermitRef;
 import org.jujuberouter.admission.PermitRequest;
-import org.jujuberouter.admission.Refusal;
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.RequestId;
 
@@ -29,36 +29,27 @@
     /** Shorter than the period after which a holder must ask again to keep its permit usable. */
     static final Duration HOLD = Duration.ofMillis(300);
 
-    private final Map<EndpointId, EndpointBook> books = new ConcurrentHashMap<>();
+    private final EndpointBooks books;
     private final Map<Waiting, CompletableFuture<Decision>> waiting = new ConcurrentHashMap<>();
     private final Set<Waiting> queued = ConcurrentHashMap.newKeySet();
 
-    private PermitDesk() {}
-
-    static PermitDesk empty() {
-        return new PermitDesk();
+    private PermitDesk(EndpointBooks books) {
+        this.books = books;
     }
 
-    private record Waiting(EndpointId endpoint, RequestId request) {}
-
-    void open(EndpointBook book) {
-        books.putIfAbsent(book.endpoint(), book);
+    static PermitDesk of(EndpointBooks books) {
+        return new PermitDesk(books);
     }
 
-    Optional<EndpointBook> book(EndpointId endpoint) {
-        return Optional.ofNullable(books.get(endpoint));
-    }
+    private record Waiting(EndpointId endpoint, RequestId request) {}
 
-    Collection<EndpointBook> books() {
-        return books.values();
+    EndpointBook book(EndpointId endpoint) {
+        return books.book(endpoint);
     }
 
     /** Decides at once, or when the request was granted or refused, at the latest after {@link #HOLD}. */
     CompletableFuture<Decision> ask(EndpointId endpoint, PermitRequest request) {
-        EndpointBook book = books.get(endpoint);
-        if (book == null) {
-            return CompletableFuture.completedFuture(new Decision.Refused(new Refusal.NotOwner(Optional.empty())));
-        }
+        EndpointBook book = books.book(endpoint);
         Waiting key = new Waiting(endpoint, request.id());
         CompletableFuture<Decision> future = new CompletableFuture<>();
         waiting.put(key, future);
@@ -89,26 +80,31 @@
         on(endpoint, book -> book.release(permit, end));
     }
 
-    /** Takes a request out of the queue; a permit that it was granted meanwhile expires unused. */
+    /** Takes a request out of the queue; a permit that it was granted meanwhile is returned unused. */
     void withdraw(EndpointId endpoint, RequestId request) {
         queued.remove(new Waiting(endpoint, request));
-        on(endpoint, book -> book.withdraw(request));
+        on(endpoint, book -> {
+            book.withdraw(request);
+            book.permits().stream()
+                    .filter(p -> p.id().equals(request))
+                    .forEach(p -> book.release(p.ref(), PermitEnd.NOT_SENT));
+        });
     }
 
     /** Applies an event to a book and hands out what it decided about requests that waited. */
     void on(EndpointId endpoint, Consumer<EndpointBook> event) {
-        EndpointBook book = books.get(endpoint);
-        if (book != null) {
-            event.accept(book);
-            deliver(book);
-        }
+        EndpointBook book = books.book(endpoint);
+        event.accept(book);
+        deliver(book);
     }
 
-    void tick() {
-        for (EndpointBook book : books.values()) {
-            book.tick();
-            deliver(book);
-        }
+    void drain(Set<EndpointId> endpoints) {
+        books.drain(endpoints);
+    }
+
+    /** Lets time take effect and returns what to tell the new owners of endpoints that were given up. */
+    List<Handover> tick() {
+        return books.tick(this::deliver);
     }
 
     private void deliver(EndpointBook book) {
--- a/src/main/java/org/jujuberouter/peer/FieldReader.java
+++ b/src/main/java/org/jujuberouter/peer/FieldReader.java
@@ -107,6 +107,11 @@
         return value;
     }
 
+    /** Reads a time of another process's ticker. */
+    long time() throws IOException {
+        return in.unpackLong();
+    }
+
     double real(String what) throws IOException, PeerException {
         double value = in.unpackDouble();
         if (!(value >= 0) || Double.isInfinite(value)) {
--- a/src/main/java/org/jujuberouter/peer/FieldWriter.java
+++ b/src/main/java/org/jujuberouter/peer/FieldWriter.java
@@ -17,6 +17,7 @@
 import org.jujuberouter.peer.PeerMessage.Heartbeat;
 import org.jujuberouter.peer.PeerMessage.HeldPermit;
 import org.jujuberouter.peer.PeerMessage.Hello;
+import org.jujuberouter.peer.PeerMessage.HolderQuery;
 import org.jujuberouter.peer.PeerMessage.HolderReport;
 import org.jujuberouter.peer.PeerMessage.PermitRelease;
 import org.jujuberouter.peer.PeerMessage.PermitReply;
@@ -64,8 +65,10 @@
                         .text(m.endpoint())
                         .text(m.request())
                         .number(m.stage().ordinal());
+            case HolderQuery m ->
+                type(PeerCodec.HOLDER_QUERY, 2).text(m.endpoint()).time(m.askedNanos());
             case HolderReport m -> {
-                type(PeerCodec.HOLDER_REPORT, 2).text(m.endpoint());
+                type(PeerCodec.HOLDER_REPORT, 3).text(m.endpoint()).time(m.askedNanos());
                 permits(m.permits());
             }
             case CrashNotice m -> type(PeerCodec.CRASH_NOTICE, 3).crash(m);
@@ -230,6 +233,12 @@
         return text(incarnation.instance()).number(incarnation.number());
     }
 
+    /** Writes a time of a ticker, whose origin is arbitrary, so that it may be negative. */
+    private FieldWriter time(long nanos) throws IOException {
+        out.packLong(nanos);
+        return this;
+    }
+
     private FieldWriter number(long value) throws IOException, PeerException {
         if (value < 0) {
             throw PeerException.of(Kind.MALFORMED, "number", "the number " + value + " is negative");
--- a/src/main/java/org/jujuberouter/peer/PeerCodec.java
+++ b/src/main/java/org/jujuberouter/peer/PeerCodec.java
@@ -26,6 +26,7 @@
 import org.jujuberouter.peer.PeerMessage.Heartbeat;
 import org.jujuberouter.peer.PeerMessage.HeldPermit;
 import org.jujuberouter.peer.PeerMessage.Hello;
+import org.jujuberouter.peer.PeerMessage.HolderQuery;
 import org.jujuberouter.peer.PeerMessage.HolderReport;
 import org.jujuberouter.peer.PeerMessage.PermitRelease;
 import org.jujuberouter.peer.PeerMessage.PermitReply;
@@ -96,6 +97,7 @@
     static final int RUN_REQUEST = 12;
     static final int RUN_REPLY = 13;
     static final int RUN_ENDED = 14;
+    static final int HOLDER_QUERY = 15;
 
     static final int AT_ENDPOINT = 0;
     static final int ANY_OF = 1;
@@ -149,7 +151,7 @@
             case SETTINGS_PULL -> body(in, "SettingsPull", fields, 1, r -> new SettingsPull(r.number("version")));
             case SETTINGS_PUSH ->
                 body(in, "SettingsPush", fields, 2, r -> new SettingsPush(r.number("version"), r.bytes("document")));
-            case PERMIT_STAGE, HOLDER_REPORT -> readHolder(in, fields, (int) type);
+            case PERMIT_STAGE, HOLDER_QUERY, HOLDER_REPORT -> readHolder(in, fields, (int) type);
             case CLEAR_NOTICE, RUN_REQUEST, RUN_REPLY, RUN_ENDED -> readRun(in, fields, (int) type);
             default -> throw PeerException.of(Kind.UNKNOWN_TYPE, type);
         };
@@ -167,13 +169,15 @@
                                 r.id("endpoint", EndpointId::of),
                                 r.id("request", RequestId::of),
                                 value(r, Stage.values())));
+            case HOLDER_QUERY ->
+                body(in, "HolderQuery", fields, 2, r -> new HolderQuery(r.id("endpoint", EndpointId::of), r.time()));
             case HOLDER_REPORT ->
                 body(
                         in,
                         "HolderReport",
                         fields,
-                        2,
-                        r -> new HolderReport(r.id("endpoint", EndpointId::of), permits(r)));
+                        3,
+                        r -> new HolderReport(r.id("endpoint", EndpointId::of), r.time(), permits(r)));
             default -> throw PeerException.of(Kind.UNKNOWN_TYPE, type);
         };
     }
--- a/src/main/java/org/jujuberouter/peer/PeerMessage.java
+++ b/src/main/java/org/jujuberouter/peer/PeerMessage.java
@@ -196,8 +196,19 @@
         PREFILLED
     }
 
-    /** Names all permits of the sender for one endpoint, so that the owner can free those it lost track of. */
-    record HolderReport(EndpointId endpoint, List<HeldPermit> permits) implements PeerMessage {
+    /**
+     * Asks a holder which permits it has for an endpoint.
+     *
+     * @param askedNanos the owner's time, which the report repeats
+     */
+    record HolderQuery(EndpointId endpoint, long askedNanos) implements PeerMessage {}
+
+    /**
+     * Names all permits of the sender for one endpoint, so that the owner can free those it lost track of.
+     *
+     * @param askedNanos the time in the query
+     */
+    record HolderReport(EndpointId endpoint, long askedNanos, List<HeldPermit> permits) implements PeerMessage {
         /** Copies the list. */
         public HolderReport {
             permits = List.copyOf(permits);
--- a/src/main/java/org/jujuberouter/peer/PeerSamples.java
+++ b/src/main/java/org/jujuberouter/peer/PeerSamples.java
@@ -25,6 +25,7 @@
 import org.jujuberouter.peer.PeerMessage.Heartbeat;
 import org.jujuberouter.peer.PeerMessage.HeldPermit;
 import org.jujuberouter.peer.PeerMessage.Hello;
+import org.jujuberouter.peer.PeerMessage.HolderQuery;
 import org.jujuberouter.peer.PeerMessage.HolderReport;
 import org.jujuberouter.peer.PeerMessage.PermitRelease;
 import org.jujuberouter.peer.PeerMessage.PermitReply;
@@ -69,7 +70,8 @@
                 new Handover(ENDPOINT, 17, Collections.nCopies(8, permit)),
                 crash(8),
                 new PermitStage(ENDPOINT, REQUEST, Stage.PREFILLED),
-                new HolderReport(ENDPOINT, Collections.nCopies(8, permit)),
+                new HolderQuery(ENDPOINT, -7_000_000_000L),
+                new HolderReport(ENDPOINT, -7_000_000_000L, Collections.nCopies(8, permit)),
                 new ClearNotice(FINGERPRINT, List.of("kk-entry-03.48213.crash.2"), 1_200),
                 new RunRequest(8, FINGERPRINT, REQUEST, 30_000),
                 new RunReply(8, RunVerdict.WAIT, 250, List.of(crash(1))),
--- a/src/test/java/org/jujuberouter/process/ChildProcess.java
+++ b/src/test/java/org/jujuberouter/process/ChildProcess.java
@@ -36,7 +36,7 @@
 
     /** Returns host and port from the first line. */
     String address() {
-        return firstLine.replaceFirst(".* at (http:/+)?", "").replaceFirst("[,/ ].*", "");
+        return firstLine.replaceFirst("^.*? at (http:/+)?", "").replaceFirst("[,/ ].*", "");
     }
 
     /** Returns where other instances connect, for an entry instance. */
