--- a/src/main/java/org/jujuberouter/cli/EntryCommand.java
+++ b/src/main/java/org/jujuberouter/cli/EntryCommand.java
@@ -8,6 +8,7 @@
 import org.jujuberouter.entry.EntryOptions;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
+import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -22,7 +23,11 @@
                     + " finishes, and owned endpoints are handed over.",
             "Each flag can be set by a variable: --drain-timeout-ms by JUJUBEROUTER_DRAIN_TIMEOUT_MS, and so on."
         },
-        exitCodeList = {"0: stopped as told", "2: wrong flags or variables", "1: it could not start"})
+        exitCodeList = {
+            "0: stopped as told",
+            "2: wrong flags or variables",
+            "1: it could not start, or a part failed too often"
+        })
 public final class EntryCommand implements Callable<Integer> {
     private static final int MAX_BODY_BYTES = 16 << 20;
     private static final int LARGEST_BODY_BYTES = 256 << 20;
@@ -85,6 +90,11 @@
                 (int) body,
                 Duration.ofMillis(drain)));
         System.out.println("entry at http:/" + daemon.address() + ", peers at " + daemon.peerAddress());
+        daemon.ended().exceptionally(e -> {
+            System.err.println("the instance stops: " + e.getMessage());
+            System.exit(CommandLine.ExitCode.SOFTWARE);
+            return null;
+        });
         StandinCommand.awaitStop(daemon);
         return 0;
     }
--- a/src/main/java/org/jujuberouter/entry/EntryDaemon.java
+++ b/src/main/java/org/jujuberouter/entry/EntryDaemon.java
@@ -10,10 +10,10 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.jujuberouter.admission.EndpointBook;
 import org.jujuberouter.error.ErrorKind;
@@ -25,6 +25,11 @@
 import org.jujuberouter.ownership.Ownership;
 import org.jujuberouter.settings.SettingTarget;
 import org.jujuberouter.settings.Settings;
+import org.jujuberouter.supervisor.ChildSpec;
+import org.jujuberouter.supervisor.RestartIntensity;
+import org.jujuberouter.supervisor.RestartStrategy;
+import org.jujuberouter.supervisor.Supervisor;
+import org.jujuberouter.supervisor.SupervisorException;
 
 /**
  * One entry instance: it serves callers until it is closed.
@@ -48,14 +53,14 @@
     private final CallerHttp http;
     private final InstanceRuntime runtime;
     private final EntryMetrics metrics = EntryMetrics.create();
-    private final List<Thread> loops = new ArrayList<>();
+    private final Supervisor tree;
     private volatile boolean stopping;
-    private volatile boolean closed;
 
     private EntryDaemon(EntryOptions options, CallerHttp http, InstanceRuntime runtime) {
         this.options = options;
         this.http = http;
         this.runtime = runtime;
+        this.tree = tree();
     }
 
     /** Starts an instance. */
@@ -64,7 +69,7 @@
                 new EntryDaemon(options, CallerHttp.bind(options.listen()), InstanceRuntime.create(options));
         daemon.route();
         daemon.gauges();
-        daemon.startLoops();
+        daemon.startTree();
         daemon.http.start();
         LOG.log(
                 Level.INFO,
@@ -85,44 +90,66 @@
         return runtime.peerAddress();
     }
 
-    private void startLoops() {
-        loop("settings", runtime::followSettings);
-        every("list", LIST_PERIOD, runtime::readList);
-        every("ownership", Ownership.TICK_PERIOD, runtime::tickOwnership);
-        every("membership", Membership.HEARTBEAT_PERIOD, runtime::tickMembership);
-        every("heartbeat", Membership.HEARTBEAT_PERIOD, runtime::sendHeartbeat);
-        every("settings-pull", PULL_PERIOD, runtime::pullSettings);
-        every("endpoints", EndpointMonitor.PERIOD, runtime::askEndpoints);
-        every("permits", EndpointBook.TICK_PERIOD, runtime::tickPermits);
-        every("held-permits", HELD_QUERY_PERIOD, runtime::queryHolders);
-        every("once-records", SETTLE_PERIOD, runtime.once::settle);
-        every("expiry", EXPIRE_PERIOD, runtime.consent::expire);
+    private void startTree() throws IOException {
+        try {
+            tree.start();
+        } catch (SupervisorException e) {
+            throw new IOException("a part of the instance did not start", e);
+        }
         Thread.ofVirtual().name("convictions").start(runtime::readConvictions);
     }
 
-    private void every(String name, Duration period, Runnable step) {
-        loop(name, () -> {
+    /** Completes when the supervisor tree has ended; exceptionally when a part failed too often to be restarted. */
+    public CompletableFuture<Void> ended() {
+        return tree.ended();
+    }
+
+    /** The supervisor tree: what follows the platform, what talks to peers, and what watches endpoints and permits. */
+    private Supervisor tree() {
+        return supervisor(
+                "instance",
+                ChildSpec.supervisor(
+                        "platform",
+                        () -> supervisor(
+                                "platform",
+                                worker("settings", runtime::followSettings),
+                                every("list", LIST_PERIOD, runtime::readList),
+                                every("ownership", Ownership.TICK_PERIOD, runtime::tickOwnership),
+                                every("once-records", SETTLE_PERIOD, runtime.once::settle))),
+                ChildSpec.supervisor(
+                        "peers",
+                        () -> supervisor(
+                                "peers",
+                                every("membership", Membership.HEARTBEAT_PERIOD, runtime::tickMembership),
+                                every("heartbeat", Membership.HEARTBEAT_PERIOD, runtime::sendHeartbeat),
+                                every("settings-pull", PULL_PERIOD, runtime::pullSettings),
+                                every("holder-query", HELD_QUERY_PERIOD, runtime::queryHolders))),
+                ChildSpec.supervisor(
+                        "endpoints",
+                        () -> supervisor(
+                                "endpoints",
+                                every("reports", EndpointMonitor.PERIOD, runtime::askEndpoints),
+                                every("permits", EndpointBook.TICK_PERIOD, runtime::tickPermits),
+                                every("expiry", EXPIRE_PERIOD, runtime.consent::expire))));
+    }
+
+    private static Supervisor supervisor(String name, ChildSpec... children) {
+        return Supervisor.of(name, new RestartStrategy.OneForOne(), RestartIntensity.usual(), List.of(children));
+    }
+
+    private static ChildSpec every(String name, Duration period, Runnable step) {
+        return worker(name, () -> {
             step.run();
             return period;
         });
     }
 
-    private void loop(String name, Supplier<Duration> step) {
-        loops.add(Thread.ofVirtual().name(name).start(() -> {
-            while (!closed) {
-                Duration pause = Duration.ofSeconds(1);
-                try {
-                    pause = step.get();
-                } catch (RuntimeException e) {
-                    LOG.log(Level.ERROR, "[entry] Task " + name + " failed and starts again.", e);
-                }
-                try {
-                    Thread.sleep(pause);
-                } catch (InterruptedException e) {
-                    return;
-                }
+    private static ChildSpec worker(String name, Supplier<Duration> step) {
+        return ChildSpec.interruptibleWorker(name, stop -> {
+            while (!stop.isRequested()) {
+                stop.await(step.get());
             }
-        }));
+        });
     }
 
     private void route() {
@@ -221,8 +248,7 @@
         await(options.drainTimeout(), () -> http.inFlight() == 0);
         runtime.beginLeaving();
         await(HANDOVER_TIMEOUT, runtime::hasHandedOver);
-        closed = true;
-        loops.forEach(Thread::interrupt);
+        tree.close();
         runtime.once.settle();
         http.close();
         runtime.close();
