Count requests and times by customer in cumulative buckets and write an access log

Cause: the burn report reads histograms with the service-level limits as buckets, and records of requests; the instance offered quantiles, which cannot be added up over instances.

--- a/src/main/java/org/jujuberouter/cli/DemoCommand.java
+++ b/src/main/java/org/jujuberouter/cli/DemoCommand.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.Callable;
 import org.jujuberouter.demo.Demo;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
 
 /** Runs the main job on an embedded site. */
 @Command(
@@ -12,11 +13,13 @@
                 + " requests, causes faults, and prints what each caller got.",
         exitCodeList = {"0: every promise of the run held", "1: a promise broke"})
 public final class DemoCommand implements Callable<Integer> {
+    @Option(names = "--verbose", description = "Show the log of the instances.")
+    private boolean verbose;
+
     @Override
     public Integer call() throws Exception {
+        LogSetup.install(verbose ? LogSetup.LogLevel.INFO : LogSetup.LogLevel.ERROR);
         boolean held = Demo.run(System.out);
-        System.out.flush();
-        // The JDK's HTTP client keeps its selector threads; ending here avoids waiting for them.
         return held ? 0 : 1;
     }
 }
--- a/src/main/java/org/jujuberouter/cli/EntryCommand.java
+++ b/src/main/java/org/jujuberouter/cli/EntryCommand.java
@@ -63,6 +63,9 @@
             description = "Longest wait for work in flight at a stop, in milliseconds (default 900000).")
     private String drainTimeoutMs;
 
+    @Option(names = "--access-log", description = "Write a line of JSON for each request to standard output.")
+    private boolean accessLog;
+
     @Option(names = "--log-level", description = "error, warning, info or debug (default info).")
     private String logLevel;
 
@@ -88,7 +91,8 @@
                 storeAddress,
                 listAddress,
                 (int) body,
-                Duration.ofMillis(drain)));
+                Duration.ofMillis(drain),
+                accessLog ? System.out::println : _ -> {}));
         System.out.println("entry at http:/" + daemon.address() + ", peers at " + daemon.peerAddress());
         daemon.ended().exceptionally(e -> {
             System.err.println("the instance stops: " + e.getMessage());
--- a/src/main/java/org/jujuberouter/demo/DemoSite.java
+++ b/src/main/java/org/jujuberouter/demo/DemoSite.java
@@ -70,7 +70,8 @@
                 store.address(),
                 list.address(),
                 MAX_BODY_BYTES,
-                Duration.ofSeconds(30))));
+                Duration.ofSeconds(30),
+                _ -> {})));
         instances.add(entry);
         register(
                 "entry-" + i,
--- a/src/main/java/org/jujuberouter/entry/CompletionsHandler.java
+++ b/src/main/java/org/jujuberouter/entry/CompletionsHandler.java
@@ -45,20 +45,18 @@
         CompletionCall call = CompletionCall.parse(chat, entered.body());
         ServiceName service = serviceOf(call);
         RequestObserver observer = RequestObserver.of(runtime.ticker, entered.arrivedNanos());
-        Outcome outcome = Outcome.NOT_RUN;
+        EntryMetrics.Ending ending = EntryMetrics.Ending.CALLER_LEFT;
         LimitUse use = admit(entered.customer(), service, call);
         try (AutoCloseableGuard _ = exchange.closeAt(entered)) {
             run(exchange, entered, call, service, observer);
-            outcome = Outcome.COMPLETED;
+            ending = EntryMetrics.Ending.COMPLETED;
         } catch (JujuberouterException e) {
-            outcome = e.outcome();
-            throw e;
-        } catch (IOException e) {
-            outcome = Outcome.MAY_HAVE_RUN;
+            ending = new EntryMetrics.Ending(
+                    e.outcome(), e.kind().status(), e.kind().code());
             throw e;
         } finally {
-            use.ended(unused(call, observer, outcome));
-            metrics.completion(service, entered, call, observer, outcome);
+            use.ended(unused(call, observer, ending.outcome()));
+            metrics.completion(service, entered, call, observer, ending);
         }
     }
 
--- a/src/main/java/org/jujuberouter/entry/EntryDaemon.java
+++ b/src/main/java/org/jujuberouter/entry/EntryDaemon.java
@@ -52,7 +52,7 @@
     private final EntryOptions options;
     private final CallerHttp http;
     private final InstanceRuntime runtime;
-    private final EntryMetrics metrics = EntryMetrics.create();
+    private final EntryMetrics metrics;
     private final Supervisor tree;
     private volatile boolean stopping;
 
@@ -60,6 +60,7 @@
         this.options = options;
         this.http = http;
         this.runtime = runtime;
+        this.metrics = EntryMetrics.create(options.accessLog());
         this.tree = tree();
     }
 
--- a/src/main/java/org/jujuberouter/entry/EntryMetrics.java
+++ b/src/main/java/org/jujuberouter/entry/EntryMetrics.java
@@ -1,33 +1,47 @@
 package org.jujuberouter.entry;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
-import com.codahale.metrics.Snapshot;
-import com.codahale.metrics.Timer;
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.util.Locale;
-import java.util.Map;
-import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.jujuberouter.admission.Lane;
 import org.jujuberouter.error.Outcome;
 import org.jujuberouter.id.ServiceName;
+import org.jujuberouter.report.RequestRecord;
 
-/** The metrics of one instance, kept by Dropwizard Metrics and shown as Prometheus text. */
+/**
+ * The metrics of one instance, kept by Dropwizard Metrics and shown as Prometheus text, and its access log.
+ *
+ * <p>Times are counted in cumulative buckets, because quantiles of several instances cannot be added up. The bucket limits
+ * include the service-level targets of 1.2 s and 43 ms, so that the burn report reads them without an estimate.
+ */
 final class EntryMetrics {
-    private static final Logger LOG = System.getLogger(EntryMetrics.class.getName());
+    private static final double[] FIRST_TOKEN_LIMITS = {0.1, 0.3, 0.6, 1.2, 2.5, 5, 10, 30, 60, 120};
+    private static final double[] BETWEEN_TOKENS_LIMITS = {0.01, 0.02, 0.03, 0.043, 0.06, 0.1, 0.3, 1};
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double NANOS_PER_MILLI = 1e6;
 
     private final MetricRegistry registry = new MetricRegistry();
+    private final Consumer<String> accessLog;
 
-    private EntryMetrics() {}
+    private EntryMetrics(Consumer<String> accessLog) {
+        this.accessLog = accessLog;
+    }
+
+    /** Returns metrics that pass each request's record to the access log. */
+    static EntryMetrics create(Consumer<String> accessLog) {
+        return new EntryMetrics(accessLog);
+    }
 
-    static EntryMetrics create() {
-        return new EntryMetrics();
+    /** How a request ended. */
+    record Ending(Outcome outcome, int status, String code) {
+        static final Ending COMPLETED = new Ending(Outcome.COMPLETED, 200, RequestRecord.NO_FAULT);
+        static final Ending CALLER_LEFT = new Ending(Outcome.MAY_HAVE_RUN, 499, "caller_left");
     }
 
     void gauge(String name, Gauge<Long> gauge) {
-        registry.register(name, gauge);
+        registry.register(name + "{}", gauge);
     }
 
     void completion(
@@ -35,82 +49,88 @@
             CallerGate.Entered entered,
             CompletionCall call,
             RequestObserver observer,
-            Outcome outcome) {
+            Ending ending) {
+        String labels = "service=\"" + service + "\",customer=\"" + entered.customer() + "\"";
+        count(labels, ending);
         String lane = Lane.of(call.promptTokens()).name().toLowerCase(Locale.ROOT);
-        count(service, outcome);
         if (observer.firstTokenNanos() >= 0) {
-            update("first_token_seconds.service=" + service + ",lane=" + lane, observer.firstTokenNanos());
+            observe(
+                    "first_token_seconds",
+                    labels + ",lane=\"" + lane + "\"",
+                    FIRST_TOKEN_LIMITS,
+                    observer.firstTokenNanos());
         }
-        if (observer.meanGapNanos() >= 0) {
-            update("between_tokens_seconds.service=" + service, observer.meanGapNanos());
+        if (observer.gapNanos() >= 0) {
+            observe("between_tokens_seconds", labels, BETWEEN_TOKENS_LIMITS, observer.gapNanos());
         }
-        registry.counter("tokens_total.service=" + service).inc(observer.tokens());
-        LOG.log(
-                Level.DEBUG,
-                "[access] Request {0} of {1} at {2}: {3}, {4} tokens in {5} ms.",
-                entered.id(),
-                entered.customer(),
-                service,
-                outcome.text(),
-                observer.tokens(),
-                observer.totalNanos() / 1_000_000L);
+        counter("tokens_total{" + labels + "}").inc(observer.tokens());
+        log(service, entered, ending, call.stream() ? "stream" : "completion", call.promptTokens(), observer);
     }
 
-    void plain(ServiceName service, CallerGate.Entered entered, Outcome outcome) {
-        count(service, outcome);
-        update("call_seconds.service=" + service, entered.ticker().nanos() - entered.arrivedNanos());
+    void plain(ServiceName service, CallerGate.Entered entered, String method, Ending ending) {
+        String labels = "service=\"" + service + "\",customer=\"" + entered.customer() + "\"";
+        count(labels, ending);
+        RequestObserver observer = RequestObserver.of(entered.ticker(), entered.arrivedNanos());
+        String kind = method.equals("GET") || method.equals("HEAD") ? "get" : "post";
+        log(service, entered, ending, kind, 0, observer);
     }
 
-    private void count(ServiceName service, Outcome outcome) {
-        registry.counter("requests_total.service=" + service + ",outcome=" + outcome.text())
+    private void count(String labels, Ending ending) {
+        counter("requests_total{" + labels + ",outcome=\"" + ending.outcome().text() + "\",status=\"" + ending.status()
+                        + "\"}")
                 .inc();
     }
 
-    private void update(String name, long nanos) {
-        registry.timer(name).update(nanos, TimeUnit.NANOSECONDS);
+    private void observe(String name, String labels, double[] limits, long nanos) {
+        double seconds = nanos / NANOS_PER_SECOND;
+        for (double limit : limits) {
+            Counter bucket = counter(name + "_bucket{" + labels + ",le=\"" + limit + "\"}");
+            if (seconds <= limit) {
+                bucket.inc();
+            }
+        }
+        counter(name + "_bucket{" + labels + ",le=\"+Inf\"}").inc();
+        counter(name + "_count{" + labels + "}").inc();
+    }
+
+    private Counter counter(String name) {
+        return registry.counter(name);
+    }
+
+    private void log(
+            ServiceName service,
+            CallerGate.Entered entered,
+            Ending ending,
+            String kind,
+            long promptTokens,
+            RequestObserver observer) {
+        double totalMs = observer.totalNanos() / NANOS_PER_MILLI;
+        accessLog.accept(new RequestRecord(
+                        System.currentTimeMillis() - (long) totalMs,
+                        entered.customer().value(),
+                        service.value(),
+                        kind,
+                        promptTokens,
+                        observer.tokens(),
+                        ending.status(),
+                        ending.outcome().text(),
+                        ending.code(),
+                        observer.firstTokenNanos() < 0 ? -1 : observer.firstTokenNanos() / NANOS_PER_MILLI,
+                        observer.gapNanos() < 0 ? -1 : observer.gapNanos() / NANOS_PER_MILLI,
+                        totalMs)
+                .toJson());
     }
 
-    /** Returns all metrics as Prometheus text. */
+    /** Returns all metrics as Prometheus text; names in the registry are metric and labels as they appear there. */
     String render() {
         StringBuilder out = new StringBuilder();
-        registry.getCounters().forEach((name, c) -> line(out, name, "", c.getCount()));
-        registry.getGauges().forEach((name, g) -> line(out, name, "", ((Number) g.getValue()).doubleValue()));
-        for (Map.Entry<String, Timer> e : registry.getTimers().entrySet()) {
-            Snapshot s = e.getValue().getSnapshot();
-            line(out, e.getKey(), "quantile=\"0.5\"", s.getMedian() / NANOS_PER_SECOND);
-            line(out, e.getKey(), "quantile=\"0.95\"", s.get95thPercentile() / NANOS_PER_SECOND);
-            line(out, e.getKey(), "quantile=\"0.99\"", s.get99thPercentile() / NANOS_PER_SECOND);
-            line(
-                    out,
-                    e.getKey().replaceFirst("(\\.|$)", "_count$1"),
-                    "",
-                    e.getValue().getCount());
-        }
+        registry.getCounters().forEach((name, c) -> line(out, name, c.getCount()));
+        registry.getGauges().forEach((name, g) -> line(out, name, ((Number) g.getValue()).longValue()));
         return out.toString();
     }
 
-    /** A registry name is the metric, a dot, and labels of the form name=value. */
-    private static void line(StringBuilder out, String name, String label, double value) {
-        int dot = name.indexOf('.');
-        String metric = dot < 0 ? name : name.substring(0, dot);
-        StringBuilder labels = new StringBuilder();
-        if (dot >= 0) {
-            for (String pair : name.substring(dot + 1).split(",")) {
-                int eq = pair.indexOf('=');
-                labels.append(labels.isEmpty() ? "" : ",")
-                        .append(pair, 0, eq)
-                        .append("=\"")
-                        .append(pair.substring(eq + 1))
-                        .append('"');
-            }
-        }
-        if (!label.isEmpty()) {
-            labels.append(labels.isEmpty() ? "" : ",").append(label);
-        }
-        out.append("jujuberouter_").append(metric);
-        if (!labels.isEmpty()) {
-            out.append('{').append(labels).append('}');
-        }
-        out.append(' ').append(value).append('\n');
+    private static void line(StringBuilder out, String name, long value) {
+        String shown = name.endsWith("{}") ? name.substring(0, name.length() - 2) : name;
+        out.append("jujuberouter_").append(shown).append(' ').append(value).append('\n');
     }
 }
--- a/src/main/java/org/jujuberouter/entry/EntryOptions.java
+++ b/src/main/java/org/jujuberouter/entry/EntryOptions.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
+import java.util.function.Consumer;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
 
@@ -17,6 +18,7 @@
  * @param list base address of the platform's list
  * @param maxBodyBytes largest request body
  * @param drainTimeout longest wait for requests in flight at a planned stop
+ * @param accessLog takes one line of JSON for each request
  */
 public record EntryOptions(
         InstanceId instance,
@@ -26,7 +28,8 @@
         URI store,
         URI list,
         int maxBodyBytes,
-        Duration drainTimeout) {
+        Duration drainTimeout,
+        Consumer<String> accessLog) {
     /** Parses host and port. */
     public static InetSocketAddress parseAddress(String text) {
         int colon = text.lastIndexOf(':');
--- a/src/main/java/org/jujuberouter/entry/InferenceRun.java
+++ b/src/main/java/org/jujuberouter/entry/InferenceRun.java
@@ -180,7 +180,6 @@
                     if (admitted.deadline().passed()) {
                         return Optional.of(consent.arbiter());
                     }
-                    observer.waitsForIdentical();
                     Thread.sleep(PAUSE);
                 }
             }
--- a/src/main/java/org/jujuberouter/entry/RequestObserver.java
+++ b/src/main/java/org/jujuberouter/entry/RequestObserver.java
@@ -1,16 +1,20 @@
 package org.jujuberouter.entry;
 
+import org.HdrHistogram.IntCountsHistogram;
 import org.jujuberouter.misc.Ticker;
 
 /** Notes the times of one request for metrics and the access log. */
 final class RequestObserver {
+    private static final long NANOS_PER_MICRO = 1_000L;
+    private static final long LONGEST_GAP_MICROS = 3_600_000_000L;
+    private static final double JUDGED_PERCENTILE = 95;
+
     private final Ticker ticker;
     private final long arrivedNanos;
+    private IntCountsHistogram gaps;
     private long firstTokenNanos = -1;
-    private long lastTokenNanos = -1;
+    private long lastTokenNanos;
     private long tokens;
-    private long longestGapNanos;
-    private int identicalWaits;
 
     private RequestObserver(Ticker ticker, long arrivedNanos) {
         this.ticker = ticker;
@@ -26,25 +30,27 @@
         if (firstTokenNanos < 0) {
             firstTokenNanos = now - arrivedNanos;
         } else {
-            longestGapNanos = Math.max(longestGapNanos, now - lastTokenNanos);
+            gap(now - lastTokenNanos);
         }
         lastTokenNanos = now;
         tokens += count;
     }
 
-    void waitsForIdentical() {
-        identicalWaits++;
+    private void gap(long nanos) {
+        if (gaps == null) {
+            gaps = new IntCountsHistogram(LONGEST_GAP_MICROS, 2);
+        }
+        gaps.recordValue(Math.min(LONGEST_GAP_MICROS, nanos / NANOS_PER_MICRO));
     }
 
-    /** Returns the time to first token, or -1 when none came. */
+    /** Returns the time to the first token, or -1 when none came. */
     long firstTokenNanos() {
         return firstTokenNanos;
     }
 
-    /** Returns the mean time between tokens, or -1 when fewer than two came. */
-    long meanGapNanos() {
-        long span = lastTokenNanos - arrivedNanos - firstTokenNanos;
-        return tokens < 2 ? -1 : span / (tokens - 1);
+    /** Returns the 95th percentile of the times between pieces of the answer, or -1 when fewer than two came. */
+    long gapNanos() {
+        return gaps == null ? -1 : gaps.getValueAtPercentile(JUDGED_PERCENTILE) * NANOS_PER_MICRO;
     }
 
     long totalNanos() {
@@ -54,8 +60,4 @@
     long tokens() {
         return tokens;
     }
-
-    int identicalWaits() {
-        return identicalWaits;
-    }
 }
--- a/src/main/java/org/jujuberouter/entry/ServicesHandler.java
+++ b/src/main/java/org/jujuberouter/entry/ServicesHandler.java
@@ -75,19 +75,20 @@
                     ErrorKind.UNKNOWN_SERVICE, target.service().value());
         }
         LimitUse use = admit(entered, target.service());
-        Outcome outcome = Outcome.NOT_RUN;
+        EntryMetrics.Ending ending = EntryMetrics.Ending.CALLER_LEFT;
         try {
             call(exchange, entered, target, kind(settings, exchange, entered, target));
-            outcome = Outcome.COMPLETED;
+            ending = EntryMetrics.Ending.COMPLETED;
         } catch (JujuberouterException e) {
-            outcome = e.outcome();
+            ending = new EntryMetrics.Ending(
+                    e.outcome(), e.kind().status(), e.kind().code());
             throw e;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw JujuberouterException.mayHaveRun(ErrorKind.STOPPING, e);
         } finally {
             use.ended(0);
-            metrics.plain(target.service(), entered, outcome);
+            metrics.plain(target.service(), entered, exchange.method(), ending);
         }
     }
 
