--- a/src/main/java/org/jujuberouter/cli/DemoCommand.java
+++ b/src/main/java/org/jujuberouter/cli/DemoCommand.java
@@ -13,12 +13,20 @@
                 + " requests, causes faults, and prints what each caller got.",
         exitCodeList = {"0: every promise of the run held", "1: a promise broke"})
 public final class DemoCommand implements Callable<Integer> {
+    @Option(
+            names = "--keep",
+            description = "Start the site only and keep it running, for trials with the other commands.")
+    private boolean keep;
+
     @Option(names = "--verbose", description = "Show the log of the instances.")
     private boolean verbose;
 
     @Override
     public Integer call() throws Exception {
         LogSetup.install(verbose ? LogSetup.LogLevel.INFO : LogSetup.LogLevel.ERROR);
+        if (keep) {
+            Demo.keep(System.out);
+        }
         boolean held = Demo.run(System.out);
         return held ? 0 : 1;
     }
--- a/src/main/java/org/jujuberouter/demo/Demo.java
+++ b/src/main/java/org/jujuberouter/demo/Demo.java
@@ -47,6 +47,21 @@
         }
     }
 
+    /** Starts the site, prints where it can be reached, and keeps it until the thread is interrupted. */
+    public static void keep(PrintStream out) throws Exception {
+        try (DemoSite site = DemoSite.start(INSTANCES, ENGINES)) {
+            new Demo(site, out).awaitReady();
+            out.println("instances for callers: http://" + String.join(", http://", site.callerAddresses()));
+            out.println("customer's API key: " + DemoSettings.API_KEY);
+            out.println("store: " + site.store().address() + ", its control: "
+                    + site.store().controlAddress());
+            out.println("an engine without an instance between: http://"
+                    + site.engines().getFirst().address());
+            out.flush();
+            Thread.sleep(Long.MAX_VALUE);
+        }
+    }
+
     private void awaitReady() throws Exception {
         long deadline = System.nanoTime() + 20_000_000_000L;
         while (System.nanoTime() < deadline) {
--- a/src/main/java/org/jujuberouter/demo/DemoSettings.java
+++ b/src/main/java/org/jujuberouter/demo/DemoSettings.java
@@ -19,6 +19,29 @@
 final class DemoSettings {
     static final String API_KEY = "demo-key-depot";
 
+    /** The customers of the built-in traces, whose key is their id. */
+    private static final List<String> TRACE_CUSTOMERS = List.of(
+            "hatchery-korat",
+            "school-khon-kaen",
+            "depot-korat",
+            "depot-udon",
+            "depot-khon-kaen",
+            "market-khon-kaen",
+            "market-udon",
+            "school-udon",
+            "ledger-office",
+            "auditor",
+            "council-north",
+            "builder-north",
+            "architects-south",
+            "surveyors",
+            "builder-east",
+            "engineers",
+            "notary",
+            "council-south",
+            "owner-desk",
+            "council-east");
+
     private DemoSettings() {}
 
     static void write(URI store, List<String> domains) throws IOException {
@@ -30,8 +53,14 @@
                         "service/assistant/model/" + DemoCaller.MODEL + "/versions",
                         json.arrayNode().add("1"))
                 .set("service/ledger/kind", json.textNode("plain"))
+                .set("service/filing-desk/kind", json.textNode("plain"))
+                .set("global/limits.tokens-per-second", json.numberNode(100_000_000))
+                .set("global/limits.long-prompts", json.numberNode(100))
                 .set("customer/depot/key-hash", json.textNode(sha256(API_KEY)))
                 .set("customer/depot/limits.requests-per-second", json.numberNode(1000));
+        for (String customer : TRACE_CUSTOMERS) {
+            change = change.set("customer/" + customer + "/key-hash", json.textNode(sha256(customer)));
+        }
         for (String domain : domains) {
             change = change.set("domain/" + domain + "/region", json.textNode("isan"));
         }
--- a/src/main/java/org/jujuberouter/demo/DemoSite.java
+++ b/src/main/java/org/jujuberouter/demo/DemoSite.java
@@ -44,6 +44,8 @@
             PlainServer ledger =
                     site.own(PlainServer.start(new InetSocketAddress("127.0.0.1", 0), Duration.ofMillis(5)));
             site.ledgers.add(ledger);
+            PlainServer desk = site.own(PlainServer.start(new InetSocketAddress("127.0.0.1", 0), Duration.ofMillis(5)));
+            site.register("desk-" + i, ListedMember.Role.PLAIN, "filing-desk", desk.address(), DOMAINS.get(i));
             site.register("ledger-" + i, ListedMember.Role.PLAIN, "ledger", ledger.address(), DOMAINS.get(i));
         }
         for (int i = 0; i < instanceCount; i++) {
--- a/src/main/java/org/jujuberouter/entry/CompletionsHandler.java
+++ b/src/main/java/org/jujuberouter/entry/CompletionsHandler.java
@@ -1,6 +1,7 @@
 package org.jujuberouter.entry;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.Optional;
 import org.jujuberouter.admission.Lane;
 import org.jujuberouter.error.ErrorKind;
@@ -10,6 +11,7 @@
 import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.limits.LimitDecision;
 import org.jujuberouter.limits.LimitKey;
+import org.jujuberouter.limits.LimitName;
 import org.jujuberouter.limits.LimitUse;
 import org.jujuberouter.outcome.CallKind;
 import org.jujuberouter.outcome.Deadline;
@@ -23,6 +25,14 @@
 
 /** Serves the completions protocol: checks the request against settings and limits, then runs it. */
 final class CompletionsHandler implements CallerHttp.Handler {
+    /**
+     * A place for a long prompt moves to the instance where it is wanted within three heartbeats, so an instance without
+     * one waits a little longer than that before it refuses.
+     */
+    private static final Duration LONG_PROMPT_PATIENCE = Duration.ofSeconds(5);
+
+    private static final Duration LONG_PROMPT_PAUSE = Duration.ofMillis(250);
+
     private final boolean chat;
     private final CallerGate gate;
     private final InstanceRuntime runtime;
@@ -107,13 +117,31 @@
 
     private LimitUse admit(CustomerId customer, ServiceName service, CompletionCall call) throws JujuberouterException {
         boolean isLong = Lane.of(call.promptTokens()) == Lane.LONG;
-        return switch (runtime.limits.admit(LimitKey.of(customer, service), call.totalTokens(), isLong)) {
-            case LimitDecision.Admitted admitted -> admitted.use();
-            case LimitDecision.Refused refused ->
-                throw JujuberouterException.notRun(
-                        ErrorKind.LIMIT_EXCEEDED,
-                        customer.value(),
-                        refused.limit().text());
-        };
+        Deadline patience = Deadline.after(runtime.ticker, LONG_PROMPT_PATIENCE);
+        while (true) {
+            switch (runtime.limits.admit(LimitKey.of(customer, service), call.totalTokens(), isLong)) {
+                case LimitDecision.Admitted admitted -> {
+                    return admitted.use();
+                }
+                case LimitDecision.Refused refused -> {
+                    if (refused.limit() != LimitName.LONG_PROMPTS || patience.passed()) {
+                        throw JujuberouterException.notRun(
+                                ErrorKind.LIMIT_EXCEEDED,
+                                customer.value(),
+                                refused.limit().text());
+                    }
+                    pause();
+                }
+            }
+        }
+    }
+
+    private static void pause() throws JujuberouterException {
+        try {
+            Thread.sleep(LONG_PROMPT_PAUSE);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw JujuberouterException.notRun(ErrorKind.STOPPING);
+        }
     }
 }
--- a/src/main/java/org/jujuberouter/standin/ServedRequest.java
+++ b/src/main/java/org/jujuberouter/standin/ServedRequest.java
@@ -28,7 +28,7 @@
     /** A prompt with this word crashes the engine that runs it. */
     static final String POISON = "crash-the-engine";
 
-    private static final Pattern MARKER = Pattern.compile("marker-[A-Za-z0-9_]+");
+    private static final Pattern MARKER = Pattern.compile("marker-[A-Za-z0-9._-]+");
     private static final int BYTES_PER_TOKEN = 4;
     private static final int DEFAULT_MAX_TOKENS = 256;
 
