Carry the age of crash notices and tell a replaced arbiter how a run ended

Cause: marks carried by a consent looked fresh, which prolonged their hour; a new arbiter did not hear of an endpoint lost under the consent of the old one. Change: age in crash notices; the end of a run also goes to the present arbiter.

--- a/src/main/java/org/jujuberouter/entry/CallerExchange.java
+++ b/src/main/java/org/jujuberouter/entry/CallerExchange.java
@@ -180,7 +180,7 @@
      *
      * <p>A caller that stopped reading blocks the thread that writes to it; only closing the connection ends that write.
      */
-    AutoCloseableGuard closeAt(CallerGate.Entered entered) {
+    DeadlineGuard closeAt(CallerGate.Entered entered) {
         Duration wait = entered.timeLeft().plus(CLOSE_GRACE);
         ScheduledFuture<?> timer = TIMERS.schedule(http::close, wait.toMillis(), TimeUnit.MILLISECONDS);
         return () -> timer.cancel(false);
--- a/src/main/java/org/jujuberouter/entry/CallerGate.java
+++ b/src/main/java/org/jujuberouter/entry/CallerGate.java
@@ -13,9 +13,8 @@
 import org.jujuberouter.misc.Ticker;
 
 /**
- * Checks what is common to all requests: method, customer, deadline, idempotency key and size.
- *
- *
+ * Checks what is common to all requests, in the order in which a check is cheap: method, readiness, customer, deadline,
+ * idempotency key, and last the size while the body is read.
  */
 final class CallerGate {
     static final String DEADLINE_HEADER = "Jujuberouter-Deadline-Ms";
--- a/src/main/java/org/jujuberouter/entry/CompletionsHandler.java
+++ b/src/main/java/org/jujuberouter/entry/CompletionsHandler.java
@@ -57,7 +57,7 @@
         RequestObserver observer = RequestObserver.of(runtime.ticker, entered.arrivedNanos());
         EntryMetrics.Ending ending = EntryMetrics.Ending.CALLER_LEFT;
         LimitUse use = admit(entered.customer(), service, call);
-        try (AutoCloseableGuard _ = exchange.closeAt(entered)) {
+        try (DeadlineGuard _ = exchange.closeAt(entered)) {
             run(exchange, entered, call, service, observer);
             ending = EntryMetrics.Ending.COMPLETED;
         } catch (JujuberouterException e) {
--- a/src/main/java/org/jujuberouter/entry/RunConsent.java
+++ b/src/main/java/org/jujuberouter/entry/RunConsent.java
@@ -62,7 +62,7 @@
     record Consent(RunDecision decision, InstanceId arbiter) {}
 
     Consent ask(Fingerprint fingerprint, RequestId run, Duration timeLeft) throws InterruptedException {
-        InstanceId first = Rendezvous.first(fingerprint.value(), live.get()).orElse(self);
+        InstanceId first = arbiterOf(fingerprint);
         if (!first.equals(self)) {
             try {
                 PeerMessage.RunReply reply = network.call(
@@ -102,7 +102,7 @@
         };
     }
 
-    /** Tells the arbiter how a run ended. */
+    /** Tells the arbiter that gave its consent how a run ended, and the present one if it is another. */
     void ended(
             InstanceId who,
             Fingerprint fingerprint,
@@ -110,6 +110,19 @@
             PeerMessage.RunEnding ending,
             Optional<String> crashId) {
         PeerMessage.RunEnded message = new PeerMessage.RunEnded(fingerprint, run, ending, crashId);
+        tell(who, message);
+        InstanceId now = arbiterOf(fingerprint);
+        if (!now.equals(who)) {
+            // The arbiter was replaced during the run; the new one has to know of a lost endpoint.
+            tell(now, message);
+        }
+    }
+
+    private InstanceId arbiterOf(Fingerprint fingerprint) {
+        return Rendezvous.first(fingerprint.value(), live.get()).orElse(self);
+    }
+
+    private void tell(InstanceId who, PeerMessage.RunEnded message) {
         if (who.equals(self)) {
             note(message);
             return;
@@ -140,10 +153,12 @@
     }
 
     static CrashNotice notice(PeerMessage.CrashNotice m) {
-        return new CrashNotice(m.crashId(), m.endpoint(), new HashSet<>(m.fingerprints()), Duration.ZERO);
+        return new CrashNotice(
+                m.crashId(), m.endpoint(), new HashSet<>(m.fingerprints()), Duration.ofMillis(m.ageMillis()));
     }
 
     static PeerMessage.CrashNotice message(CrashNotice n) {
-        return new PeerMessage.CrashNotice(n.crashId(), n.endpoint(), List.copyOf(n.inFlight()));
+        return new PeerMessage.CrashNotice(
+                n.crashId(), n.endpoint(), List.copyOf(n.inFlight()), n.age().toMillis());
     }
 }
--- a/src/main/java/org/jujuberouter/peer/FieldWriter.java
+++ b/src/main/java/org/jujuberouter/peer/FieldWriter.java
@@ -71,7 +71,7 @@
                 type(PeerCodec.HOLDER_REPORT, 3).text(m.endpoint()).time(m.askedNanos());
                 permits(m.permits());
             }
-            case CrashNotice m -> type(PeerCodec.CRASH_NOTICE, 3).crash(m);
+            case CrashNotice m -> type(PeerCodec.CRASH_NOTICE, 4).crash(m);
             case ClearNotice m -> clear(m);
             case RunRequest m ->
                 type(PeerCodec.RUN_REQUEST, 4)
@@ -111,7 +111,7 @@
                 .number(m.waitMillis());
         list("marks", PeerCodec.MAX_CRASHES, m.marks());
         for (CrashNotice mark : m.marks()) {
-            out.packArrayHeader(3);
+            out.packArrayHeader(4);
             crash(mark);
         }
     }
@@ -122,6 +122,7 @@
         for (var f : m.fingerprints()) {
             text(f);
         }
+        number(m.ageMillis());
     }
 
     private void heartbeat(Heartbeat m) throws IOException, PeerException {
--- a/src/main/java/org/jujuberouter/peer/PeerCodec.java
+++ b/src/main/java/org/jujuberouter/peer/PeerCodec.java
@@ -147,7 +147,7 @@
                 body(in, "PermitReply", fields, 2, r -> new PermitReply(r.number("call id"), decision(r)));
             case PERMIT_RELEASE -> body(in, "PermitRelease", fields, 5, PeerCodec::permitRelease);
             case HANDOVER -> body(in, "Handover", fields, 5, PeerCodec::handover);
-            case CRASH_NOTICE -> body(in, "CrashNotice", fields, 3, PeerCodec::crashNotice);
+            case CRASH_NOTICE -> body(in, "CrashNotice", fields, 4, PeerCodec::crashNotice);
             case SETTINGS_PULL -> body(in, "SettingsPull", fields, 1, r -> new SettingsPull(r.number("version")));
             case SETTINGS_PUSH ->
                 body(in, "SettingsPush", fields, 2, r -> new SettingsPush(r.number("version"), r.bytes("document")));
@@ -206,7 +206,7 @@
                                 r.number("call id"),
                                 value(r, RunVerdict.values()),
                                 r.number("wait"),
-                                r.list("marks", MAX_CRASHES, e -> e.group("mark", 3, PeerCodec::crashNotice))));
+                                r.list("marks", MAX_CRASHES, e -> e.group("mark", 4, PeerCodec::crashNotice))));
             case RUN_ENDED ->
                 body(
                         in,
@@ -390,7 +390,8 @@
         return new CrashNotice(
                 in.text("crash id"),
                 in.id("endpoint", EndpointId::of),
-                in.list("fingerprints", MAX_FINGERPRINTS, e -> e.id("fingerprint", Fingerprint::of)));
+                in.list("fingerprints", MAX_FINGERPRINTS, e -> e.id("fingerprint", Fingerprint::of)),
+                in.number("age"));
     }
 
     static void requireBound(String what, long value, long bound) throws PeerException {
--- a/src/main/java/org/jujuberouter/peer/PeerMessage.java
+++ b/src/main/java/org/jujuberouter/peer/PeerMessage.java
@@ -249,8 +249,13 @@
             CustomerId customer,
             Fingerprint fingerprint) {}
 
-    /** Tells which fingerprints were in flight at an endpoint that crashed. */
-    record CrashNotice(String crashId, EndpointId endpoint, List<Fingerprint> fingerprints) implements PeerMessage {
+    /**
+     * Tells which fingerprints were in flight at an endpoint that crashed.
+     *
+     * @param ageMillis how long ago it crashed; processes share no clock
+     */
+    record CrashNotice(String crashId, EndpointId endpoint, List<Fingerprint> fingerprints, long ageMillis)
+            implements PeerMessage {
         /** Copies the list. */
         public CrashNotice {
             fingerprints = List.copyOf(fingerprints);
--- a/src/main/java/org/jujuberouter/peer/PeerSamples.java
+++ b/src/main/java/org/jujuberouter/peer/PeerSamples.java
@@ -81,7 +81,8 @@
     }
 
     private static CrashNotice crash(int fingerprints) {
-        return new CrashNotice("kk-entry-03.48213.crash.2", ENDPOINT, Collections.nCopies(fingerprints, FINGERPRINT));
+        return new CrashNotice(
+                "kk-entry-03.48213.crash.2", ENDPOINT, Collections.nCopies(fingerprints, FINGERPRINT), 40);
     }
 
     /** Returns a permit request of a short prompt. */
