Measure what idle instances cost by instances and endpoints

Cause: the budget of a node (3.4 % of a core, 32 MB, 6 KB/s) was compared with estimates only.

PeerTraffic counts frames and bytes of an instance by message type.

Ruled out: a process for each instance, because processor time of threads tells the stand-ins apart within one process; commons-math3 for a fit of at most five terms.

Before: no counters between instances.

--- /dev/null
+++ b/src/main/java/org/jujuberouter/capacity/CapacitySite.java
@@ -0,0 +1,210 @@
+package org.jujuberouter.capacity;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadInfo;
+import java.lang.management.ThreadMXBean;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jujuberouter.entry.EntryDaemon;
+import org.jujuberouter.entry.EntryOptions;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.misc.Ticker;
+import org.jujuberouter.peer.PeerTraffic;
+import org.jujuberouter.platform.HttpPlatformStore;
+import org.jujuberouter.platform.ListedMember;
+import org.jujuberouter.settings.SettingsChange;
+import org.jujuberouter.settings.SettingsEditor;
+import org.jujuberouter.settings.SettingsResult;
+import org.jujuberouter.standin.StoreServer;
+
+/**
+ * Entry instances in this process against a stand-in store, list and idle engines, all on loopback.
+ *
+ * <p>The instances stay while the number of engines changes, so that one start serves a whole row of the grid.
+ */
+public final class CapacitySite implements AutoCloseable {
+    private static final List<String> DOMAINS = List.of("north", "east", "south");
+    private static final int MAX_BODY_BYTES = 1 << 20;
+    private static final Duration SETTINGS_TIMEOUT = Duration.ofSeconds(10);
+    private static final long OWNED_MILLIS = 30_000;
+    private static final long POLL_MILLIS = 200;
+    private static final double NANOS = 1e9;
+
+    private final LightPlatform platform;
+    private final StoreServer store;
+    private final List<EntryDaemon> instances = new ArrayList<>();
+    private final List<ListedMember> listedInstances = new ArrayList<>();
+    private int endpoints;
+
+    private CapacitySite(LightPlatform platform, StoreServer store) {
+        this.platform = platform;
+        this.store = store;
+    }
+
+    /** Starts the instances, without endpoints, with settings that name the customers. */
+    public static CapacitySite start(int instances, int customers) throws IOException, InterruptedException {
+        CapacitySite site = new CapacitySite(LightPlatform.start(), StoreServer.start());
+        site.writeSettings(customers);
+        for (int i = 0; i < instances; i++) {
+            site.startInstance(i);
+        }
+        site.endpoints(0);
+        return site;
+    }
+
+    private void writeSettings(int customers) throws IOException, InterruptedException {
+        JsonNodeFactory json = JsonNodeFactory.instance;
+        SettingsChange change = SettingsChange.of("capacity-1", "capacity", System.currentTimeMillis(), "set up", 0)
+                .set("service/assistant/kind", json.textNode("inference"))
+                .set(
+                        "service/assistant/model/tray-70b/versions",
+                        json.arrayNode().add("1"));
+        for (int i = 0; i < customers; i++) {
+            change = change.set("customer/customer-" + i + "/key-hash", json.textNode(String.format("%064x", i)));
+        }
+        for (String domain : DOMAINS) {
+            change = change.set("domain/" + domain + "/region", json.textNode("one"));
+        }
+        SettingsResult result = SettingsEditor.of(
+                        HttpPlatformStore.at(store.address()), Ticker.system(), SETTINGS_TIMEOUT)
+                .apply(change);
+        if (!(result instanceof SettingsResult.Accepted)) {
+            throw new IOException("the settings were not accepted: " + result);
+        }
+    }
+
+    private void startInstance(int i) throws IOException {
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        String name = String.format("kk-entry-%02d", i);
+        String domain = DOMAINS.get(i % DOMAINS.size());
+        EntryDaemon instance = EntryDaemon.start(new EntryOptions(
+                InstanceId.of(name),
+                FailureDomain.of(domain),
+                any,
+                any,
+                store.address(),
+                platform.uri(),
+                MAX_BODY_BYTES,
+                Duration.ZERO));
+        instances.add(instance);
+        listedInstances.add(new ListedMember(
+                name,
+                ListedMember.Role.INSTANCE,
+                "",
+                "127.0.0.1:" + instance.peerAddress().getPort(),
+                domain,
+                ListedMember.State.LIVE));
+    }
+
+    /** Changes the number of listed engines and waits until each has an owner. */
+    public void endpoints(int count) throws IOException, InterruptedException {
+        endpoints = count;
+        List<ListedMember> members = new ArrayList<>(listedInstances);
+        for (int i = 0; i < count; i++) {
+            members.add(new ListedMember(
+                    String.format("kk-engine-%04d", i),
+                    ListedMember.Role.ENGINE,
+                    "assistant",
+                    platform.address(),
+                    DOMAINS.get(i % DOMAINS.size()),
+                    ListedMember.State.LIVE));
+        }
+        platform.list(members);
+        long end = System.nanoTime() + Duration.ofMillis(OWNED_MILLIS).toNanos();
+        while (owned() < count && System.nanoTime() < end) {
+            Thread.sleep(POLL_MILLIS);
+        }
+    }
+
+    private int owned() {
+        return instances.stream().mapToInt(EntryDaemon::ownedEndpoints).sum();
+    }
+
+    /** Returns the size of the platform's list in bytes. */
+    public int listSize() {
+        return platform.listSize();
+    }
+
+    /** Measures a window that begins now. */
+    public CapacitySample measure(Duration window) throws InterruptedException {
+        Map<String, PeerTraffic.Count> before = traffic();
+        Map<String, Long> storeBefore = store.counts();
+        long listBefore = platform.listBytes();
+        long engineBefore = platform.engineBytes();
+        long processorBefore = processorNanos();
+        long start = System.nanoTime();
+        Thread.sleep(window);
+        double seconds = (System.nanoTime() - start) / NANOS;
+        double processor = (processorNanos() - processorBefore) / NANOS;
+        Map<String, PeerTraffic.Count> traffic = traffic();
+        traffic.replaceAll((name, count) -> count.minus(before.get(name)));
+        Map<String, Long> counts = store.counts();
+        return new CapacitySample(
+                instances.size(),
+                endpoints,
+                owned(),
+                seconds,
+                traffic,
+                processor,
+                heapAfterCollection(),
+                platform.listBytes() - listBefore,
+                platform.engineBytes() - engineBefore,
+                counts.get("reads") - storeBefore.get("reads"),
+                counts.get("writes") - storeBefore.get("writes"),
+                counts.get("waitingWatches"));
+    }
+
+    private Map<String, PeerTraffic.Count> traffic() {
+        Map<String, PeerTraffic.Count> sum = new TreeMap<>();
+        for (EntryDaemon instance : instances) {
+            instance.peerTraffic().snapshot().forEach((name, count) -> sum.merge(name, count, PeerTraffic.Count::plus));
+        }
+        return sum;
+    }
+
+    /** Returns the processor time of the process without that of the engines, the list and the accepting threads. */
+    private static long processorNanos() {
+        long all = ((com.sun.management.OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
+                .getProcessCpuTime();
+        ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+        for (ThreadInfo thread : threads.getThreadInfo(threads.getAllThreadIds())) {
+            if (thread != null && isStandin(thread.getThreadName())) {
+                all -= Math.max(0, threads.getThreadCpuTime(thread.getThreadId()));
+            }
+        }
+        return all;
+    }
+
+    private static boolean isStandin(String thread) {
+        return thread.startsWith(LightPlatform.THREAD_PREFIX) || thread.startsWith("HTTP-Dispatcher");
+    }
+
+    /** Returns the bytes of heap in use after a full collection. */
+    public static long heapAfterCollection() {
+        System.gc();
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+
+    @Override
+    public void close() {
+        List<Thread> closing =
+                instances.stream().map(i -> Thread.ofVirtual().start(i::close)).toList();
+        try {
+            for (Thread thread : closing) {
+                thread.join();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        store.close();
+        platform.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/capacity/LightPlatform.java
@@ -0,0 +1,102 @@
+package org.jujuberouter.capacity;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jujuberouter.misc.Json;
+import org.jujuberouter.platform.ListedMember;
+
+/**
+ * The platform's list and any number of idle engines behind one port, with answers that are encoded in advance.
+ *
+ * <p>It runs on platform threads of its own, so that its processor time can be told from that of the instances.
+ */
+final class LightPlatform implements AutoCloseable {
+    static final String THREAD_PREFIX = "light-platform-";
+
+    private static final int THREADS = 8;
+    private static final byte[] NO_REQUESTS = "{\"requests\":[]}".getBytes(StandardCharsets.UTF_8);
+    private static final byte[] LOAD =
+            ("{\"boot\":1,\"cold\":false,\"leaving\":false,\"model\":\"tray-70b\",\"slots\":32,"
+                            + "\"cold_slots\":2,\"kv_limit\":1800000,\"kv_tokens\":0,\"running\":0,\"waiting\":0,"
+                            + "\"pending_prefill_tokens\":{\"0\":0,\"1\":0,\"2\":0}}")
+                    .getBytes(StandardCharsets.UTF_8);
+
+    private final HttpServer server;
+    private final ExecutorService threads;
+    private final AtomicLong listBytes = new AtomicLong();
+    private final AtomicLong engineBytes = new AtomicLong();
+    private volatile byte[] list = "[]".getBytes(StandardCharsets.UTF_8);
+
+    private LightPlatform(HttpServer server, ExecutorService threads) {
+        this.server = server;
+        this.threads = threads;
+    }
+
+    static LightPlatform start() throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1024);
+        AtomicLong number = new AtomicLong();
+        ExecutorService threads = Executors.newFixedThreadPool(THREADS, task -> {
+            Thread thread = new Thread(task, THREAD_PREFIX + number.incrementAndGet());
+            thread.setDaemon(true);
+            return thread;
+        });
+        LightPlatform platform = new LightPlatform(server, threads);
+        server.setExecutor(threads);
+        server.createContext("/v1/members", e -> reply(e, platform.list, platform.listBytes));
+        server.createContext("/load", e -> reply(e, LOAD, platform.engineBytes));
+        server.createContext("/requests", e -> reply(e, NO_REQUESTS, platform.engineBytes));
+        server.start();
+        return platform;
+    }
+
+    private static void reply(HttpExchange exchange, byte[] body, AtomicLong count) throws IOException {
+        try (exchange) {
+            exchange.getResponseHeaders().set("Content-Type", "application/json");
+            exchange.sendResponseHeaders(200, body.length);
+            exchange.getResponseBody().write(body);
+            count.addAndGet(body.length);
+        }
+    }
+
+    /** Returns host and port of the list and of every engine. */
+    String address() {
+        return "127.0.0.1:" + server.getAddress().getPort();
+    }
+
+    URI uri() {
+        return URI.create("http://" + address());
+    }
+
+    void list(List<ListedMember> members) throws IOException {
+        list = Json.MAPPER.writeValueAsBytes(members);
+    }
+
+    int listSize() {
+        return list.length;
+    }
+
+    /** Returns the bytes of lists that were sent, without HTTP headers. */
+    long listBytes() {
+        return listBytes.get();
+    }
+
+    /** Returns the bytes of load reports and lists of requests that were sent, without HTTP headers. */
+    long engineBytes() {
+        return engineBytes.get();
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+        threads.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/capacity/LinearFit.java
@@ -0,0 +1,77 @@
+package org.jujuberouter.capacity;
+
+import java.util.List;
+
+/** Least squares by the normal equations; the few terms here need no better conditioned method. */
+public final class LinearFit {
+    private static final double SINGULAR = 1e-9;
+
+    private LinearFit() {}
+
+    /**
+     * Returns the coefficients that fit the values best.
+     *
+     * @param rows the terms of each observation, the same number in each
+     * @param values what was observed
+     */
+    public static double[] of(List<double[]> rows, double[] values) {
+        int terms = rows.getFirst().length;
+        double[][] matrix = new double[terms][terms + 1];
+        for (int r = 0; r < values.length; r++) {
+            double[] row = rows.get(r);
+            for (int i = 0; i < terms; i++) {
+                for (int j = 0; j < terms; j++) {
+                    matrix[i][j] += row[i] * row[j];
+                }
+                matrix[i][terms] += row[i] * values[r];
+            }
+        }
+        return solve(matrix);
+    }
+
+    /** Returns the share of the variance that the coefficients explain. */
+    public static double explained(List<double[]> rows, double[] values, double[] coefficients) {
+        double mean = java.util.Arrays.stream(values).average().orElse(0);
+        double rest = 0;
+        double all = 0;
+        for (int r = 0; r < values.length; r++) {
+            double fitted = 0;
+            for (int i = 0; i < coefficients.length; i++) {
+                fitted += coefficients[i] * rows.get(r)[i];
+            }
+            rest += (values[r] - fitted) * (values[r] - fitted);
+            all += (values[r] - mean) * (values[r] - mean);
+        }
+        return all == 0 ? 1 : 1 - rest / all;
+    }
+
+    /** Gaussian elimination with a pivot; a term that the others determine gets 0. */
+    private static double[] solve(double[][] matrix) {
+        int terms = matrix.length;
+        for (int i = 0; i < terms; i++) {
+            int pivot = i;
+            for (int r = i + 1; r < terms; r++) {
+                if (Math.abs(matrix[r][i]) > Math.abs(matrix[pivot][i])) {
+                    pivot = r;
+                }
+            }
+            double[] row = matrix[pivot];
+            matrix[pivot] = matrix[i];
+            matrix[i] = row;
+            if (Math.abs(row[i]) < SINGULAR) {
+                continue;
+            }
+            for (int r = 0; r < terms; r++) {
+                double factor = r == i ? 0 : matrix[r][i] / row[i];
+                for (int c = i; c <= terms; c++) {
+                    matrix[r][c] -= factor * row[c];
+                }
+            }
+        }
+        double[] result = new double[terms];
+        for (int i = 0; i < terms; i++) {
+            result[i] = Math.abs(matrix[i][i]) < SINGULAR ? 0 : matrix[i][terms] / matrix[i][i];
+        }
+        return result;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/capacity/MicroMeasurements.java
@@ -0,0 +1,317 @@
+package org.jujuberouter.capacity;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import java.io.PrintWriter;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import org.jujuberouter.admission.Capacity;
+import org.jujuberouter.admission.Decision;
+import org.jujuberouter.admission.EndpointBook;
+import org.jujuberouter.admission.EndpointReport;
+import org.jujuberouter.admission.Holders;
+import org.jujuberouter.admission.Lane;
+import org.jujuberouter.admission.Mandate;
+import org.jujuberouter.admission.PermitEnd;
+import org.jujuberouter.admission.PermitRequest;
+import org.jujuberouter.id.CustomerId;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.Fingerprint;
+import org.jujuberouter.id.Incarnation;
+import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.id.ModelName;
+import org.jujuberouter.id.RequestId;
+import org.jujuberouter.id.ServiceName;
+import org.jujuberouter.limits.LimitKeeper;
+import org.jujuberouter.limits.LimitKey;
+import org.jujuberouter.membership.Membership;
+import org.jujuberouter.misc.Json;
+import org.jujuberouter.misc.ManualTicker;
+import org.jujuberouter.misc.Ticker;
+import org.jujuberouter.peer.PeerCodec;
+import org.jujuberouter.peer.PeerMessage;
+import org.jujuberouter.peer.PeerSamples;
+import org.jujuberouter.platform.ListedMember;
+import org.jujuberouter.routing.EndpointSpec;
+import org.jujuberouter.routing.Placement;
+import org.jujuberouter.routing.PromptBlocks;
+import org.jujuberouter.routing.ReportedLoad;
+import org.jujuberouter.routing.RouteRequest;
+import org.jujuberouter.routing.Router;
+import org.jujuberouter.routing.RoutingSettings;
+import org.jujuberouter.settings.Settings;
+import org.jujuberouter.settings.SettingsDocument;
+
+/** Measures single operations at the size to design for, each on one thread after a warm-up of the same length. */
+public final class MicroMeasurements {
+    private static final int NODES = 410;
+    private static final int ENGINES = 1400;
+    private static final int CUSTOMERS = 630;
+    private static final int PROMPT_BLOCKS = 30;
+    private static final long PROMPT_TOKENS = 7_800;
+    private static final long TOTAL_TOKENS = 8_312;
+    private static final long MEMORY_TOKENS = 1_800_000;
+    private static final double NANOS_PER_MICRO = 1e3;
+    private static final FailureDomain DOMAIN = FailureDomain.of("north");
+    private static final Placement PLACEMENT =
+            Placement.of(ServiceName.of("assistant"), ModelName.of("tray-70b"), "", "");
+
+    private final PrintWriter out;
+
+    private MicroMeasurements(PrintWriter out) {
+        this.out = out;
+    }
+
+    /** Returns measurements that print to the writer. */
+    public static MicroMeasurements of(PrintWriter out) {
+        return new MicroMeasurements(out);
+    }
+
+    /** Runs and prints all measurements. */
+    public void run() throws Exception {
+        messages();
+        permits();
+        routing();
+        settings();
+        membership();
+        list();
+        heap();
+        out.flush();
+    }
+
+    private void time(String name, int rounds, Callable<?> step) throws Exception {
+        for (int i = 0; i < rounds; i++) {
+            step.call();
+        }
+        long start = System.nanoTime();
+        for (int i = 0; i < rounds; i++) {
+            step.call();
+        }
+        out.printf("%-56s %10.2f us%n", name, (System.nanoTime() - start) / NANOS_PER_MICRO / rounds);
+        out.flush();
+    }
+
+    private void messages() throws Exception {
+        for (PeerMessage message : PeerSamples.all()) {
+            byte[] frame = PeerCodec.encode(message);
+            String name = message.getClass().getSimpleName();
+            time(name + ", " + (frame.length + 4) + " bytes, encode", 5_000, () -> PeerCodec.encode(message));
+            time(name + ", decode", 5_000, () -> PeerCodec.decode(frame));
+        }
+        for (int endpoints : new int[] {0, 4}) {
+            for (int customers : new int[] {0, 10, 32}) {
+                int size = PeerCodec.encode(heartbeat(endpoints, customers)).length + 4;
+                out.printf("Heartbeat, %d endpoints, %d customers: %d bytes%n", endpoints, customers, size);
+            }
+        }
+    }
+
+    private static PeerMessage.Heartbeat heartbeat(int endpoints, int customers) {
+        PeerMessage.Heartbeat sample = PeerSamples.all().stream()
+                .filter(PeerMessage.Heartbeat.class::isInstance)
+                .map(PeerMessage.Heartbeat.class::cast)
+                .findFirst()
+                .orElseThrow();
+        return new PeerMessage.Heartbeat(
+                sample.sequence(),
+                sample.settingsVersion(),
+                Collections.nCopies(endpoints, sample.endpoints().getFirst()),
+                Collections.nCopies(customers, sample.demand().getFirst()),
+                false);
+    }
+
+    private void permits() throws Exception {
+        ManualTicker ticker = ManualTicker.atZero();
+        EndpointBook book = book(ticker, 0);
+        long[] number = {0};
+        time("permit at the owner: request, start, release", 50_000, () -> {
+            String name = "request-" + number[0]++;
+            Decision decision = book.request(new PermitRequest(
+                    RequestId.of(name),
+                    Incarnation.of(InstanceId.of("holder"), 1),
+                    CustomerId.of("customer"),
+                    1,
+                    Lane.SHORT,
+                    TOTAL_TOKENS,
+                    Fingerprint.of(name),
+                    false,
+                    ticker.nanos() + Duration.ofMinutes(1).toNanos()));
+            if (!(decision instanceof Decision.Granted granted)) {
+                throw new IllegalStateException("not granted: " + decision);
+            }
+            book.started(granted.permit().id());
+            book.release(granted.permit().ref(), PermitEnd.COMPLETED);
+            return decision;
+        });
+        time("tick of an idle book", 50_000, () -> {
+            book.tick();
+            return book;
+        });
+    }
+
+    private static EndpointBook book(ManualTicker ticker, int number) {
+        Mandate mandate = new Mandate.Held(1, 0, b -> b, b -> b, b -> 0);
+        EndpointBook book = EndpointBook.ofEngine(ticker, engine(number), () -> mandate, new NoHolders());
+        Capacity warm = Capacity.of(32, MEMORY_TOKENS);
+        // The ramp doubles every 5 s, and nothing is granted before a list that is newer than the takeover.
+        for (int i = 0; i < 30; i++) {
+            ticker.advance(Duration.ofSeconds(1));
+            book.report(new EndpointReport(1, false, false, warm, warm), ticker.nanos());
+            book.listed(List.of(), ticker.nanos());
+            book.tick();
+        }
+        return book;
+    }
+
+    private static EndpointId engine(int number) {
+        return EndpointId.of(String.format("kk-engine-%04d", number));
+    }
+
+    private static Router router(int endpoints) {
+        Ticker ticker = Ticker.system();
+        Router router = Router.of(RoutingSettings.in(DOMAIN), ticker, 1);
+        router.setOffered(Set.of(PLACEMENT));
+        for (int i = 0; i < endpoints; i++) {
+            router.putEndpoint(EndpointSpec.of(engine(i), DOMAIN, Set.of(PLACEMENT), MEMORY_TOKENS));
+            router.reportLoad(engine(i), load(ticker));
+        }
+        return router;
+    }
+
+    private static ReportedLoad load(Ticker ticker) {
+        return new ReportedLoad(ticker.nanos(), 8, 32, new ReportedLoad.Pending(9_000, 0, 60_000), 412_000);
+    }
+
+    private void routing() throws Exception {
+        RouteRequest request =
+                RouteRequest.of(PLACEMENT, PROMPT_TOKENS, 512, PromptBlocks.ofContents(new long[PROMPT_BLOCKS]));
+        for (int endpoints : new int[] {15, 120, ENGINES}) {
+            Router router = router(endpoints);
+            time("routing decision, " + endpoints + " endpoints of a model", 2_000, () -> router.route(request));
+            time("load report into routing, " + endpoints + " endpoints", 20_000, () -> {
+                router.reportLoad(engine(0), load(Ticker.system()));
+                return router;
+            });
+        }
+    }
+
+    private static SettingsDocument document() {
+        SortedMap<String, JsonNode> values = new TreeMap<>();
+        JsonNodeFactory json = JsonNodeFactory.instance;
+        values.put("service/assistant/kind", json.textNode("inference"));
+        for (int i = 0; i < CUSTOMERS; i++) {
+            String customer = String.format("customer/customer-%04d/", i);
+            values.put(customer + "key-hash", json.textNode(String.format("%064x", i)));
+            values.put(customer + "weight", json.numberNode(2.5));
+            values.put(customer + "limits.requests-per-second", json.numberNode(250));
+        }
+        return new SettingsDocument(1, values, List.of());
+    }
+
+    private void settings() throws Exception {
+        byte[] json = document().encode();
+        time("settings of " + json.length + " bytes, decode", 100, () -> SettingsDocument.decode(json));
+        time("settings, decode and index", 100, () -> Settings.of(SettingsDocument.decode(json)));
+    }
+
+    private static List<Membership.Listed> instances() {
+        List<Membership.Listed> rows = new ArrayList<>();
+        for (int i = 0; i < NODES; i++) {
+            rows.add(new Membership.Listed(instance(i), DOMAIN, "10.0.0.1:8400", false));
+        }
+        return rows;
+    }
+
+    private static InstanceId instance(int number) {
+        return InstanceId.of(String.format("kk-entry-%03d", number));
+    }
+
+    private void membership() throws Exception {
+        Membership view = Membership.of(Ticker.system(), instance(0), DOMAIN);
+        List<Membership.Listed> rows = instances();
+        view.listed(rows);
+        int[] turn = {0};
+        time("heartbeat into a view of 410 instances", 2_000, () -> {
+            view.heard(Incarnation.of(instance(1 + turn[0]++ % 16), 1), DOMAIN, "10.0.0.1:8400", false);
+            return view;
+        });
+        time("same list into a view of 410 instances", 500, () -> {
+            view.listed(rows);
+            return view;
+        });
+        time("list with one instance more or less, 410 instances", 5, () -> {
+            view.listed(turn[0]++ % 2 == 0 ? rows : rows.subList(0, NODES - 1));
+            return view;
+        });
+    }
+
+    private void list() throws Exception {
+        List<ListedMember> members = new ArrayList<>();
+        for (int i = 0; i < NODES + ENGINES; i++) {
+            ListedMember.Role role = i < NODES ? ListedMember.Role.INSTANCE : ListedMember.Role.ENGINE;
+            members.add(new ListedMember(
+                    engine(i).value(), role, "assistant", "10.0.12.17:8400", "north", ListedMember.State.LIVE));
+        }
+        byte[] json = Json.MAPPER.writeValueAsBytes(members);
+        time(
+                "list of 1,810 members, " + json.length + " bytes, decode",
+                100,
+                () -> Json.MAPPER.readValue(json, new TypeReference<List<ListedMember>>() {}));
+    }
+
+    private void heap() throws Exception {
+        held("heap of routing for an endpoint", ENGINES, () -> router(ENGINES));
+        held("heap of an idle book", ENGINES, () -> {
+            List<EndpointBook> books = new ArrayList<>();
+            for (int i = 0; i < ENGINES; i++) {
+                books.add(book(ManualTicker.atZero(), i));
+            }
+            return books;
+        });
+        held("heap of a customer in limits", CUSTOMERS, () -> {
+            LimitKeeper keeper = LimitKeeper.of(instance(0), Ticker.system());
+            for (int i = 0; i < CUSTOMERS; i++) {
+                keeper.admit(LimitKey.of(CustomerId.of("customer-" + i), ServiceName.of("assistant")), 1, false);
+            }
+            return keeper;
+        });
+        held(
+                "heap of a customer in the settings",
+                CUSTOMERS,
+                () -> Settings.of(SettingsDocument.decode(document().encode())));
+        held("heap of an instance in the membership view", NODES, () -> {
+            Membership view = Membership.of(Ticker.system(), instance(0), DOMAIN);
+            view.listed(instances());
+            return view;
+        });
+    }
+
+    private void held(String name, int count, Callable<?> build) throws Exception {
+        build.call();
+        long before = CapacitySite.heapAfterCollection();
+        Object kept = build.call();
+        long used = CapacitySite.heapAfterCollection() - before;
+        out.printf("%-56s %10.0f bytes%n", name, (double) used / count);
+        java.lang.ref.Reference.reachabilityFence(kept);
+    }
+
+    private static final class NoHolders implements Holders {
+        @Override
+        public boolean dead(Incarnation holder) {
+            return false;
+        }
+
+        @Override
+        public boolean gone(Incarnation holder) {
+            return false;
+        }
+    }
+}
--- a/src/main/java/org/jujuberouter/cli/Main.java
+++ b/src/main/java/org/jujuberouter/cli/Main.java
@@ -18,6 +18,7 @@
     public static void main(String[] args) {
         CommandLine root = OperatorCommands.addTo(new CommandLine(new Main()));
         System.exit(root.addSubcommand(LoadCommand.of())
+                .addSubcommand(MeasureCapacityCommand.of())
                 .addSubcommand(MeasurePeerCommand.of())
                 .addSubcommand(ReplayCommand.of())
                 .addSubcommand(ReportCommand.of())
--- /dev/null
+++ b/src/main/java/org/jujuberouter/cli/MeasureCapacityCommand.java
@@ -0,0 +1,100 @@
+package org.jujuberouter.cli;
+
+import java.io.PrintWriter;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.jujuberouter.capacity.CapacityReport;
+import org.jujuberouter.capacity.CapacitySample;
+import org.jujuberouter.capacity.CapacitySite;
+import org.jujuberouter.capacity.MicroMeasurements;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** Prints what idle instances cost by the numbers of instances and endpoints, and fitted slopes. */
+@Command(
+        name = "measure-capacity",
+        mixinStandardHelpOptions = true,
+        description = "Measures traffic, processor time, heap and store calls of idle instances on loopback.")
+public final class MeasureCapacityCommand implements Callable<Integer> {
+    @Option(
+            names = "--instances",
+            split = ",",
+            defaultValue = "2,4,8,16",
+            description = "numbers of instances (default ${DEFAULT-VALUE})")
+    private List<Integer> instances;
+
+    @Option(
+            names = "--endpoints",
+            split = ",",
+            defaultValue = "0,15,60,120,240",
+            description = "numbers of endpoints (default ${DEFAULT-VALUE})")
+    private List<Integer> endpoints;
+
+    @Option(names = "--customers", defaultValue = "630", description = "customers (default ${DEFAULT-VALUE})")
+    private int customers;
+
+    @Option(
+            names = "--settle-s",
+            defaultValue = "8",
+            description = "seconds before each window (default ${DEFAULT-VALUE})")
+    private int settleSeconds;
+
+    @Option(names = "--window-s", defaultValue = "10", description = "seconds measured (default ${DEFAULT-VALUE})")
+    private int windowSeconds;
+
+    @Option(
+            names = "--warm-up-s",
+            defaultValue = "20",
+            description =
+                    "seconds of 4 instances before all others, so that code is compiled (default ${DEFAULT-VALUE})")
+    private int warmUpSeconds;
+
+    @Option(names = "--micro", description = "measure single operations and no site")
+    private boolean micro;
+
+    @Spec
+    private CommandSpec spec;
+
+    /** Returns the command. */
+    public static MeasureCapacityCommand of() {
+        return new MeasureCapacityCommand();
+    }
+
+    private MeasureCapacityCommand() {}
+
+    @Override
+    public Integer call() throws Exception {
+        PrintWriter out = spec.commandLine().getOut();
+        if (micro) {
+            MicroMeasurements.of(out).run();
+            return 0;
+        }
+        if (warmUpSeconds > 0) {
+            try (CapacitySite site = CapacitySite.start(4, customers)) {
+                site.endpoints(60);
+                Thread.sleep(Duration.ofSeconds(warmUpSeconds));
+            }
+        }
+        out.printf("heap before the first site: %.1f MB%n", CapacitySite.heapAfterCollection() / 1e6);
+        CapacityReport.heading(out);
+        List<CapacitySample> samples = new ArrayList<>();
+        for (int n : instances) {
+            try (CapacitySite site = CapacitySite.start(n, customers)) {
+                for (int e : endpoints) {
+                    site.endpoints(e);
+                    Thread.sleep(Duration.ofSeconds(settleSeconds));
+                    CapacitySample sample = site.measure(Duration.ofSeconds(windowSeconds));
+                    samples.add(sample);
+                    CapacityReport.row(out, sample);
+                }
+                out.printf("          list %d bytes%n", site.listSize());
+            }
+        }
+        CapacityReport.of(out, samples).fits();
+        return 0;
+    }
+}
--- a/src/main/java/org/jujuberouter/entry/EntryDaemon.java
+++ b/src/main/java/org/jujuberouter/entry/EntryDaemon.java
@@ -23,6 +23,7 @@
 import org.jujuberouter.membership.Membership;
 import org.jujuberouter.misc.Json;
 import org.jujuberouter.ownership.Ownership;
+import org.jujuberouter.peer.PeerTraffic;
 import org.jujuberouter.settings.SettingTarget;
 import org.jujuberouter.settings.Settings;
 
@@ -85,6 +86,16 @@
         return runtime.peerAddress();
     }
 
+    /** Returns what was sent to and received from other instances since the start. */
+    public PeerTraffic peerTraffic() {
+        return runtime.network.traffic();
+    }
+
+    /** Returns how many endpoints the instance owns. */
+    public int ownedEndpoints() {
+        return runtime.ownership.owned().size();
+    }
+
     private void startLoops() {
         loop("settings", runtime::followSettings);
         every("list", LIST_PERIOD, runtime::readList);
--- a/src/main/java/org/jujuberouter/peer/PeerCodec.java
+++ b/src/main/java/org/jujuberouter/peer/PeerCodec.java
@@ -82,6 +82,9 @@
     /** The most crashes that one message names for a fingerprint; two convict it. */
     public static final int MAX_CRASHES = 64;
 
+    /** The length before each frame. */
+    static final int LENGTH_BYTES = 4;
+
     static final int HELLO = 0;
     static final int HEARTBEAT = 1;
     static final int PERMIT_REQUEST = 2;
--- a/src/main/java/org/jujuberouter/peer/PeerConnection.java
+++ b/src/main/java/org/jujuberouter/peer/PeerConnection.java
@@ -46,6 +46,7 @@
     private final Socket socket;
     private final Ticker ticker;
     private final PeerListener listener;
+    private final PeerTraffic traffic;
     private final BlockingQueue<byte[]> queue = new ArrayBlockingQueue<>(MAX_QUEUED_FRAMES);
     private final AtomicLong queuedBytes = new AtomicLong();
     private final AtomicLong nextCall = new AtomicLong(1);
@@ -55,15 +56,16 @@
     private volatile long lastReceived;
     private volatile long writingSince = Long.MAX_VALUE;
 
-    private PeerConnection(Socket socket, Ticker ticker, PeerListener listener) {
+    private PeerConnection(Socket socket, Ticker ticker, PeerListener listener, PeerTraffic traffic) {
         this.socket = socket;
         this.ticker = ticker;
         this.listener = listener;
+        this.traffic = traffic;
         this.lastReceived = ticker.nanos();
     }
 
-    static PeerConnection of(Socket socket, Ticker ticker, PeerListener listener) {
-        return new PeerConnection(socket, ticker, listener);
+    static PeerConnection of(Socket socket, Ticker ticker, PeerListener listener, PeerTraffic traffic) {
+        return new PeerConnection(socket, ticker, listener, traffic);
     }
 
     /** Returns the incarnation that the peer announced. */
@@ -121,12 +123,15 @@
                 .put(frame)
                 .array();
         out.write(whole);
+        traffic.sent(frame);
         DataInputStream in = new DataInputStream(socket.getInputStream());
         int size = in.readInt();
         if (size < 0 || size > MAX_FIRST_FRAME_BYTES) {
             throw PeerException.of(Kind.WRONG_MAGIC, String.format("the bytes 0x%08x", size));
         }
-        PeerMessage first = PeerCodec.decode(readFrame(in, size));
+        byte[] received = readFrame(in, size);
+        traffic.received(received);
+        PeerMessage first = PeerCodec.decode(received);
         if (!(first instanceof Hello hello)) {
             throw PeerException.of(
                     Kind.WRONG_MAGIC, "a message of type " + first.getClass().getSimpleName());
@@ -149,6 +154,7 @@
                 }
                 byte[] frame = readFrame(in, size);
                 lastReceived = ticker.nanos();
+                traffic.received(frame);
                 if (size > 0) {
                     dispatch(frame);
                 }
@@ -242,6 +248,7 @@
                 writingSince = ticker.nanos();
                 out.writeInt(next.length);
                 out.write(next);
+                traffic.sent(next);
                 queuedBytes.addAndGet(-next.length);
                 if (queue.isEmpty()) {
                     out.flush();
--- a/src/main/java/org/jujuberouter/peer/PeerNetwork.java
+++ b/src/main/java/org/jujuberouter/peer/PeerNetwork.java
@@ -43,6 +43,7 @@
     private final Ticker ticker;
     private final PeerListener listener;
     private final FailureDomain domain;
+    private final PeerTraffic traffic = new PeerTraffic();
     private final Set<PeerConnection> all = ConcurrentHashMap.newKeySet();
     private final Set<PeerConnection> ready = ConcurrentHashMap.newKeySet();
     private final Map<InetSocketAddress, Thread> dialers = new ConcurrentHashMap<>();
@@ -75,6 +76,11 @@
         return server.address();
     }
 
+    /** Returns the counts of frames and bytes of all connections since the start. */
+    public PeerTraffic traffic() {
+        return traffic;
+    }
+
     /** Sets the addresses to stay connected to; connections dialled to others are closed. */
     public synchronized void connectTo(Collection<InetSocketAddress> addresses) {
         Set<InetSocketAddress> wanted = new HashSet<>(closed ? List.of() : addresses);
@@ -174,7 +180,7 @@
 
     /** Runs one connection from handshake to end; each fault ends this connection alone. */
     private PeerConnection serve(Socket socket) {
-        PeerConnection connection = PeerConnection.of(socket, ticker, listener);
+        PeerConnection connection = PeerConnection.of(socket, ticker, listener, traffic);
         all.add(connection);
         if (closed) {
             connection.close();
