Hash each name once in a rendezvous order

Cause: a list with one instance more or less took 200 ms of a core at 410 instances, because the sort hashed both names at every comparison.

Change: scores are computed before the sort; the order is the same.

Ruled out (trial on a scratch copy, 8 instances, 240 endpoints): skipping the refresh of endpoints when the list is unchanged, 21.7 against 21.2 % of a core.

--- a/src/main/java/org/jujuberouter/misc/Rendezvous.java
+++ b/src/main/java/org/jujuberouter/misc/Rendezvous.java
@@ -19,10 +19,13 @@
     /** Returns the candidates from the highest score to the lowest. */
     public static <T> List<T> order(String key, Collection<T> candidates) {
         long k = hash(key);
+        // A score reads the whole name, so it is not left to the comparisons of the sort.
         return candidates.stream()
-                .sorted(Comparator.<T>comparingLong(c -> score(k, c.toString()))
+                .map(c -> new Scored<>(c, score(k, c.toString())))
+                .sorted(Comparator.<Scored<T>>comparingLong(Scored::score)
                         .reversed()
-                        .thenComparing(Object::toString))
+                        .thenComparing(s -> s.candidate().toString()))
+                .map(Scored::candidate)
                 .toList();
     }
 
@@ -35,6 +38,8 @@
                                 .reversed()));
     }
 
+    private record Scored<T>(T candidate, long score) {}
+
     private static long score(long key, String candidate) {
         return mix(key ^ hash(candidate)) >>> 1;
     }
