--- a/src/main/java/org/jujuberouter/entry/EndpointMonitor.java
+++ b/src/main/java/org/jujuberouter/entry/EndpointMonitor.java
@@ -60,12 +60,16 @@
         /** An endpoint that was up restarted or refuses connections. */
         void crashed(EndpointId endpoint);
 
+        /** The engine's prefix cache changed. */
+        void cacheChanged(EndpointId endpoint, JsonNode event);
+
         /** A report came. */
         void reported(EndpointId endpoint, JsonNode load);
     }
 
     private static final class Known {
         private volatile long boot;
+        private long cacheSequence;
         private boolean down;
     }
 
@@ -124,6 +128,16 @@
         desk.on(endpoint, b -> b.report(report, asked));
         listener.reported(endpoint, load);
         reconcile(endpoint, member.address());
+        readCacheEvents(endpoint, member.address(), state);
+    }
+
+    private void readCacheEvents(EndpointId endpoint, String address, Known state) throws EngineException {
+        JsonNode events = engines.read(address, "/cache/events?after=" + state.cacheSequence, TIMEOUT);
+        for (JsonNode event : events.path("events")) {
+            state.cacheSequence =
+                    Math.max(state.cacheSequence, event.path("sequence").asLong());
+            listener.cacheChanged(endpoint, event);
+        }
     }
 
     private void reconcile(EndpointId endpoint, String address) throws EngineException {
--- a/src/main/java/org/jujuberouter/entry/Fleet.java
+++ b/src/main/java/org/jujuberouter/entry/Fleet.java
@@ -150,6 +150,24 @@
                         digest.usedTokens()));
     }
 
+    /** Takes one event of an engine's prefix cache. */
+    void cacheChanged(EndpointId endpoint, JsonNode event) {
+        long sequence = event.path("sequence").asLong();
+        JsonNode rows = event.path("blocks");
+        long[] blocks = new long[rows.size()];
+        for (int i = 0; i < blocks.length; i++) {
+            blocks[i] = rows.get(i).asLong();
+        }
+        switch (event.path("kind").asText()) {
+            case "stored" -> router.cacheStored(endpoint, sequence, blocks);
+            case "evicted" -> router.cacheEvicted(endpoint, sequence, blocks);
+            case "cleared" -> router.cacheCleared(endpoint, sequence);
+            default -> {
+                // A kind of a later version; a cache that is believed wrongly costs only time.
+            }
+        }
+    }
+
     /** Notes that an endpoint does not answer. */
     void down(EndpointId endpoint) {
         facts.computeIfPresent(endpoint, (_, f) -> new Facts(f.model(), f.memoryTokens(), DOWN, f.pending()));
--- a/src/main/java/org/jujuberouter/entry/InstanceRuntime.java
+++ b/src/main/java/org/jujuberouter/entry/InstanceRuntime.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Collectors;
 import org.jujuberouter.admission.BookFigures;
@@ -66,6 +67,9 @@
 final class InstanceRuntime implements Holders, MemberView, EndpointMonitor.Listener {
     private static final Logger LOG = System.getLogger(InstanceRuntime.class.getName());
 
+    private static final long START_SPREAD_NANOS = 10_000_000L;
+    private static final long LONGEST_START_SPREAD_NANOS = 4_000_000_000L;
+
     final Ticker ticker = Ticker.system();
     final EngineClient engines = EngineClient.create();
     final PermitDesk desk;
@@ -89,6 +93,7 @@
     private final SettingsWatch watch;
     private final EndpointMonitor monitor;
     private final AtomicLong heartbeats = new AtomicLong();
+    private volatile long registerAt;
     private volatile boolean listRead;
     private volatile boolean leaving;
     private Incarnation announced;
@@ -175,6 +180,11 @@
                 .map(r -> EntryOptions.parseAddress(r.address()))
                 .toList());
         drain();
+        if (!listRead) {
+            // Spreads the store's load when all instances start at once; a few instances hardly wait.
+            long spread = Math.min(LONGEST_START_SPREAD_NANOS, instances.size() * START_SPREAD_NANOS);
+            registerAt = ticker.nanos() + ThreadLocalRandom.current().nextLong(spread + 1);
+        }
         listRead = true;
     }
 
@@ -192,6 +202,9 @@
     }
 
     void tickOwnership() {
+        if (!listRead || ticker.nanos() - registerAt < 0) {
+            return;
+        }
         registration.tick();
         registration.process().filter(p -> !p.equals(announced)).ifPresent(p -> {
             announced = p;
@@ -350,6 +363,11 @@
         return endpoint + "@" + monitor.boot(endpoint);
     }
 
+    @Override
+    public void cacheChanged(EndpointId endpoint, JsonNode event) {
+        fleet.cacheChanged(endpoint, event);
+    }
+
     /** Asks an endpoint at once, because a holder lost its connection there. */
     void askNow(EndpointId endpoint) {
         ListedMember member = fleet.endpoints().get(endpoint);
