Revert "Hand the ramp of an endpoint over with its ownership"

Ruled out: limiting the age of the level; the transit time of the message to a paused instance is not known. Conclusion: tried and reverted; a new owner starts at the cold bound or at what the engine is seen to hold.

--- a/src/main/java/org/jujuberouter/admission/EndpointBook.java
+++ b/src/main/java/org/jujuberouter/admission/EndpointBook.java
@@ -217,18 +217,12 @@
         pump(now);
     }
 
-    /** Takes over permits and ramp of an owner that released the endpoint under the given fencing number. */
-    public synchronized void handover(long fence, Collection<Permit> permits, RampLevel level) {
+    /** Takes over all permits of an owner that released the endpoint under the given fencing number. */
+    public synchronized void handover(long fence, Collection<Permit> permits) {
         permits.forEach(inFlight::add);
-        ramp.inherit(level);
         share.handedOver(fence);
     }
 
-    /** Returns how far the ramp has come, for the handover message. */
-    public synchronized RampLevel rampLevel() {
-        return ramp.reached();
-    }
-
     /** Returns all permits, for the handover message; to be called once grants have stopped. */
     public synchronized List<Permit> permits() {
         return List.copyOf(inFlight.permits());
--- a/src/main/java/org/jujuberouter/admission/EndpointBooks.java
+++ b/src/main/java/org/jujuberouter/admission/EndpointBooks.java
@@ -87,7 +87,7 @@
                 books.remove(id);
                 long fence = book.figures().fence();
                 if (fence > 0) {
-                    handovers.add(new Handover(id, fence, other.get(), book.permits(), book.rampLevel()));
+                    handovers.add(new Handover(id, fence, other.get(), book.permits()));
                 }
             }
         });
--- a/src/main/java/org/jujuberouter/admission/Handover.java
+++ b/src/main/java/org/jujuberouter/admission/Handover.java
@@ -11,6 +11,5 @@
  * @param fence the fencing number under which the permits were granted
  * @param next the instance to tell
  * @param permits all permits that are not known to have ended
- * @param level how far the ramp had come; without it each replaced instance would send its endpoints back to the cold bound
  */
-public record Handover(EndpointId endpoint, long fence, InstanceId next, List<Permit> permits, RampLevel level) {}
+public record Handover(EndpointId endpoint, long fence, InstanceId next, List<Permit> permits) {}
--- a/src/main/java/org/jujuberouter/admission/Ramp.java
+++ b/src/main/java/org/jujuberouter/admission/Ramp.java
@@ -22,7 +22,6 @@
     private long askedAt;
     private long healthyNanos;
     private boolean healthy;
-    private RampLevel inherited = RampLevel.NONE;
     private boolean distrusted;
     private long distrustedAt;
 
@@ -44,27 +43,6 @@
         latest = report;
         askedAt = asked;
         distrusted = false;
-        applyInherited();
-    }
-
-    /** Takes over the level that the previous owner saw; it counts only for the same life of the endpoint. */
-    void inherit(RampLevel level) {
-        inherited = level;
-        applyInherited();
-    }
-
-    private void applyInherited() {
-        if (latest != null && inherited.slots() > 0) {
-            if (latest.boot() == inherited.boot()) {
-                heldAlready(inherited.slots());
-            }
-            inherited = RampLevel.NONE;
-        }
-    }
-
-    /** Returns how far the ramp has come. */
-    RampLevel reached() {
-        return latest == null || !healthy ? RampLevel.NONE : new RampLevel(latest.boot(), level().slots());
     }
 
     /** Makes the bound nothing until a report is requested after now. */
--- a/src/main/java/org/jujuberouter/entry/InstanceRuntime.java
+++ b/src/main/java/org/jujuberouter/entry/InstanceRuntime.java
@@ -225,14 +225,7 @@
             List<PeerMessage.HeldPermit> permits = handover.permits().stream()
                     .map(p -> PermitWire.toMessage(p.request(), p.serial()))
                     .toList();
-            send(
-                    handover.next(),
-                    new PeerMessage.Handover(
-                            handover.endpoint(),
-                            handover.fence(),
-                            permits,
-                            handover.level().boot(),
-                            handover.level().slots()));
+            send(handover.next(), new PeerMessage.Handover(handover.endpoint(), handover.fence(), permits));
         }
     }
 
--- a/src/main/java/org/jujuberouter/entry/PeerInbox.java
+++ b/src/main/java/org/jujuberouter/entry/PeerInbox.java
@@ -13,7 +13,6 @@
 import org.jujuberouter.admission.PermitEnd;
 import org.jujuberouter.admission.PermitRef;
 import org.jujuberouter.admission.PermitRequest;
-import org.jujuberouter.admission.RampLevel;
 import org.jujuberouter.admission.Refusal;
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
@@ -140,8 +139,7 @@
 
     private void handover(PeerMessage.Handover m) {
         List<Permit> permits = PermitWire.fromMessage(m.permits(), m.fencingNumber(), runtime.ticker);
-        runtime.desk.on(
-                m.endpoint(), b -> b.handover(m.fencingNumber(), permits, new RampLevel(m.boot(), m.rampSlots())));
+        runtime.desk.on(m.endpoint(), b -> b.handover(m.fencingNumber(), permits));
         runtime.ownership.handedOver(m.endpoint());
     }
 
--- a/src/main/java/org/jujuberouter/peer/FieldWriter.java
+++ b/src/main/java/org/jujuberouter/peer/FieldWriter.java
@@ -172,9 +172,8 @@
     }
 
     private void handover(Handover m) throws IOException, PeerException {
-        type(PeerCodec.HANDOVER, 5).text(m.endpoint()).number(m.fencingNumber());
+        type(PeerCodec.HANDOVER, 3).text(m.endpoint()).number(m.fencingNumber());
         permits(m.permits());
-        number(m.boot()).number(m.rampSlots());
     }
 
     private void permits(Collection<HeldPermit> permits) throws IOException, PeerException {
--- a/src/main/java/org/jujuberouter/peer/PeerCodec.java
+++ b/src/main/java/org/jujuberouter/peer/PeerCodec.java
@@ -149,7 +149,7 @@
             case PERMIT_REPLY ->
                 body(in, "PermitReply", fields, 2, r -> new PermitReply(r.number("call id"), decision(r)));
             case PERMIT_RELEASE -> body(in, "PermitRelease", fields, 5, PeerCodec::permitRelease);
-            case HANDOVER -> body(in, "Handover", fields, 5, PeerCodec::handover);
+            case HANDOVER -> body(in, "Handover", fields, 3, PeerCodec::handover);
             case CRASH_NOTICE -> body(in, "CrashNotice", fields, 4, PeerCodec::crashNotice);
             case SETTINGS_PULL -> body(in, "SettingsPull", fields, 1, r -> new SettingsPull(r.number("version")));
             case SETTINGS_PUSH ->
@@ -370,7 +370,7 @@
     private static Handover handover(FieldReader in) throws IOException, PeerException {
         EndpointId endpoint = in.id("endpoint", EndpointId::of);
         long fencing = in.number("fencing number");
-        return new Handover(endpoint, fencing, permits(in), in.number("boot"), in.number("ramp slots"));
+        return new Handover(endpoint, fencing, permits(in));
     }
 
     private static List<HeldPermit> permits(FieldReader in) throws IOException, PeerException {
--- a/src/main/java/org/jujuberouter/peer/PeerMessage.java
+++ b/src/main/java/org/jujuberouter/peer/PeerMessage.java
@@ -224,14 +224,8 @@
         CRASHED
     }
 
-    /**
-     * Passes the ownership of an endpoint and its permits in flight to the receiver.
-     *
-     * @param boot the life of the endpoint that the bound belongs to
-     * @param rampSlots the bound in slots that the endpoint's ramp had reached
-     */
-    record Handover(EndpointId endpoint, long fencingNumber, List<HeldPermit> permits, long boot, long rampSlots)
-            implements PeerMessage {
+    /** Passes the ownership of an endpoint and its permits in flight to the receiver. */
+    record Handover(EndpointId endpoint, long fencingNumber, List<HeldPermit> permits) implements PeerMessage {
         /** Copies the list. */
         public Handover {
             permits = List.copyOf(permits);
--- a/src/main/java/org/jujuberouter/peer/PeerSamples.java
+++ b/src/main/java/org/jujuberouter/peer/PeerSamples.java
@@ -67,7 +67,7 @@
                 new PermitReply(7, new Refused("not-owner", Optional.of(HOLDER.instance()), 0)),
                 new PermitReply(7, new Refused("full", Optional.empty(), 250)),
                 new PermitRelease(90_001, 17, ENDPOINT, REQUEST, Ending.FINISHED),
-                new Handover(ENDPOINT, 17, Collections.nCopies(8, permit), 41, 128),
+                new Handover(ENDPOINT, 17, Collections.nCopies(8, permit)),
                 crash(8),
                 new PermitStage(ENDPOINT, REQUEST, Stage.PREFILLED),
                 new HolderQuery(ENDPOINT, -7_000_000_000L),
--- a/src/test/java/org/jujuberouter/admission/EndpointBookTest.java
+++ b/src/test/java/org/jujuberouter/admission/EndpointBookTest.java
@@ -76,18 +76,6 @@
         assertEquals(Capacity.NONE, book.figures().bound(), "no recent report");
     }
 
-    @Test
-    void keepsTheRampOfTheOwnerThatHandedOverUnlessTheEndpointRestarted() {
-        RampLevel reached = book.rampLevel();
-        assertEquals(new RampLevel(1, 8), reached);
-        for (long life : List.of(1L, 2L)) {
-            EndpointBook next = EndpointBook.ofEngine(ticker, EndpointId.of("e"), () -> mandate, this);
-            next.handover(1, List.of(), reached);
-            next.report(new EndpointReport(life, false, false, WARM, COLD), ticker.nanos());
-            assertEquals(life == 1 ? 8 : 2, next.figures().bound().slots());
-        }
-    }
-
     @Test
     void stopsGrantsAfterABrokenConnectionUntilANewerReport() {
         Permit permit = granted(ask(Lane.SHORT, 1));
--- a/src/test/java/org/jujuberouter/ownership/SimulatedInstance.java
+++ b/src/test/java/org/jujuberouter/ownership/SimulatedInstance.java
@@ -97,7 +97,7 @@
         ownership.owned().forEach(books::book);
         for (Handover handover : books.tick(this::deliver)) {
             fleet.send(this, handover.next(), to -> {
-                to.books.book(handover.endpoint()).handover(handover.fence(), handover.permits(), handover.level());
+                to.books.book(handover.endpoint()).handover(handover.fence(), handover.permits());
                 to.ownership.handedOver(handover.endpoint());
             });
         }
