Check the module boundaries of the design with ArchUnit

Cause: the design page promised a test that the decision packages stay free of sockets and threads, but no such test existed, and the table of uses had fallen behind the code. Change: ModuleBoundariesTest checks outside classes, time from the ticker only, uses per package against the table in docs/design.md, the platform interface, cycles and package-info files. Ruled out: passing the wait into SettingsEditor.apply; it changes ten call sites, eight of them in tests, for a method that no instance calls. It is a named exception, and a second rule keeps it out of instances. Before: SettingsEditor.apply broke the thread rule; several packages used more than the table allowed or were missing in it. Conclusion: the boundaries are checked by each build.

--- /dev/null
+++ b/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
@@ -0,0 +1,221 @@
+package org.jujuberouter;
+
+import static com.tngtech.archunit.base.DescribedPredicate.describe;
+import static com.tngtech.archunit.base.DescribedPredicate.not;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAPackage;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.type;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.library.dependencies.SlicesRuleDefinition;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards against decisions that depend on sockets, threads or the wall clock of a run, which could not be repeated on a
+ * virtual clock, and against packages that use more than the table in section 2 of docs/design.md allows.
+ */
+class ModuleBoundariesTest {
+    private static final String ROOT = "org.jujuberouter";
+    private static final Path SOURCES = Path.of("src", "main", "java", "org", "jujuberouter");
+    private static final JavaClasses CLASSES = new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+            .importPackages(ROOT);
+
+    /** What each decision package may use besides itself, {@code id} and {@code misc}. */
+    private static final Map<String, Set<String>> DECISIONS = Map.ofEntries(
+            Map.entry("membership", Set.of()),
+            Map.entry("ownership", Set.of("platform")),
+            Map.entry("admission", Set.of()),
+            Map.entry("routing", Set.of()),
+            Map.entry("limits", Set.of()),
+            Map.entry("memory", Set.of()),
+            Map.entry("outcome", Set.of("error", "platform")),
+            Map.entry("quarantine", Set.of()),
+            Map.entry("stream", Set.of()),
+            Map.entry("settings", Set.of("platform")));
+
+    private static final Set<String> PLATFORM_INTERFACE = Set.of(
+            "PlatformStore",
+            "InstanceList",
+            "ListedMember",
+            "StoreEntry",
+            "WriteOutcome",
+            "LeaseId",
+            "PlatformException");
+
+    private static final DescribedPredicate<JavaClass> OUTSIDE_WORLD = describe(
+            "a network, file, thread or executor class",
+            c -> c.getPackageName().startsWith("java.net") && !c.getName().equals("java.net.URI")
+                    || c.getPackageName().startsWith("com.sun.net")
+                    || c.getPackageName().startsWith("java.nio.channels")
+                    || c.getPackageName().startsWith("java.nio.file")
+                    || c.getPackageName().equals("java.io") && !c.getName().endsWith("Exception")
+                    || c.getName().matches("java\\.lang\\.(Thread|Process|Runtime|ProcessBuilder)(\\$.*)?")
+                    || c.getName().matches("java\\.util\\.(Timer|concurrent\\.[A-Za-z]*(Execut|Future|Fork)).*"));
+
+    /**
+     * The exception: {@code SettingsEditor.apply} sleeps between attempts. Operators' commands call it on their main thread,
+     * instances do not; {@code SettingsEditor.begin} gives the same steps without waiting.
+     */
+    private static final String BLOCKING = ROOT + ".settings.SettingsEditor";
+
+    @Test
+    void decisionPackagesUseNoSocketFileThreadOrExecutor() {
+        noClasses()
+                .that()
+                .resideInAnyPackage(patterns(DECISIONS.keySet()))
+                .and()
+                .doNotHaveFullyQualifiedName(BLOCKING)
+                .should()
+                .dependOnClassesThat(OUTSIDE_WORLD)
+                .check(CLASSES);
+    }
+
+    @Test
+    void theBlockingEditorOnlySleepsAndStaysOutOfInstances() {
+        noClasses()
+                .that()
+                .haveFullyQualifiedName(BLOCKING)
+                .should()
+                .dependOnClassesThat(OUTSIDE_WORLD.and(not(type(Thread.class))))
+                .orShould()
+                .callMethodWhere(describe(
+                        "starts a thread or does other than sleep",
+                        call -> call.getTargetOwner().isEquivalentTo(Thread.class)
+                                && !call.getName().equals("sleep")))
+                .check(CLASSES);
+        noClasses()
+                .that()
+                .resideOutsideOfPackages(ROOT + ".settings", ROOT + ".cli", ROOT + ".demo")
+                .should()
+                .dependOnClassesThat(describe("SettingsEditor", c -> c.getName().equals(BLOCKING)))
+                .check(CLASSES);
+    }
+
+    @Test
+    void decisionPackagesReadTimeFromTheTickerOnly() {
+        noClasses()
+                .that()
+                .resideInAnyPackage(patterns(DECISIONS.keySet()))
+                .should()
+                .callMethod(System.class, "nanoTime")
+                .orShould()
+                .callMethod(System.class, "currentTimeMillis")
+                .orShould()
+                .callMethod(java.time.Instant.class, "now")
+                .check(CLASSES);
+    }
+
+    @Test
+    void decisionPackagesUseOnlyWhatTheDesignAllows() {
+        DECISIONS.forEach((name, allowed) -> {
+            Set<String> all = new TreeSet<>(allowed);
+            all.addAll(Set.of(name, "id", "misc"));
+            noClasses()
+                    .that()
+                    .resideInAPackage(ROOT + "." + name + "..")
+                    .should()
+                    .dependOnClassesThat(resideInAPackage(ROOT + "..").and(not(resideInAnyPackage(patterns(all)))))
+                    .check(CLASSES);
+        });
+    }
+
+    @Test
+    void decisionPackagesSeeOfThePlatformOnlyItsInterface() {
+        noClasses()
+                .that()
+                .resideInAnyPackage(patterns(DECISIONS.keySet()))
+                .should()
+                .dependOnClassesThat(resideInAPackage(ROOT + ".platform")
+                        .and(describe("not part of the interface", c -> !PLATFORM_INTERFACE.contains(topLevelName(c)))))
+                .check(CLASSES);
+    }
+
+    @Test
+    void packagesHaveNoCycles() {
+        SlicesRuleDefinition.slices()
+                .matching(ROOT + ".(*)..")
+                .should()
+                .beFreeOfCycles()
+                .check(CLASSES);
+    }
+
+    /** Guards against a table in the design page that allows less, or names fewer packages, than the code has. */
+    @Test
+    void usesOfEveryPackageAreInTheDesignTable() throws IOException {
+        Map<String, Set<String>> table = designTable();
+        Map<String, Set<String>> beyond = new TreeMap<>();
+        for (JavaClass c : CLASSES) {
+            String from = module(c);
+            Set<String> allowed = table.getOrDefault(from, Set.of());
+            c.getDirectDependenciesFromSelf().stream()
+                    .map(d -> d.getTargetClass().getBaseComponentType())
+                    .filter(t -> t.getPackageName().startsWith(ROOT + "."))
+                    .map(ModuleBoundariesTest::module)
+                    .filter(to -> !to.equals(from) && !allowed.contains(to) && !allowed.contains("all"))
+                    .forEach(to ->
+                            beyond.computeIfAbsent(from, f -> new TreeSet<>()).add(to));
+        }
+        assertEquals(Map.of(), beyond, "uses that docs/design.md, section 2, does not allow");
+        Set<String> modules = new TreeSet<>();
+        CLASSES.forEach(c -> modules.add(module(c)));
+        assertEquals(modules, new TreeSet<>(table.keySet()), "packages in docs/design.md, section 2");
+    }
+
+    @Test
+    void everyPackageHasAPackageInfo() throws IOException {
+        try (Stream<Path> files = Files.walk(SOURCES)) {
+            List<Path> without = files.filter(f -> f.toString().endsWith(".java"))
+                    .map(Path::getParent)
+                    .distinct()
+                    .filter(d -> !Files.exists(d.resolve("package-info.java")))
+                    .toList();
+            assertEquals(List.of(), without);
+        }
+    }
+
+    private static Map<String, Set<String>> designTable() throws IOException {
+        Map<String, Set<String>> table = new TreeMap<>();
+        String page = Files.readString(Path.of("docs", "design.md"));
+        String section = page.substring(page.indexOf("## 2. Modules"), page.indexOf("## 3. "));
+        for (String line : section.lines().filter(l -> l.startsWith("| `")).toList()) {
+            String[] cells = line.split("\\|");
+            Set<String> uses = new TreeSet<>(Arrays.asList(cells[3].strip().split(", ")));
+            if (uses.remove("platform interface")) {
+                uses.add("platform");
+            }
+            for (String name : cells[1].replace("`", "").strip().split(", ")) {
+                table.put(name, uses);
+            }
+        }
+        return table;
+    }
+
+    private static String module(JavaClass c) {
+        return c.getPackageName().substring(ROOT.length() + 1).split("\\.")[0];
+    }
+
+    private static String topLevelName(JavaClass c) {
+        return c.getName().substring(c.getPackageName().length() + 1).split("\\$")[0];
+    }
+
+    private static String[] patterns(Set<String> modules) {
+        return modules.stream().map(m -> ROOT + "." + m + "..").toArray(String[]::new);
+    }
+}
