Order models, adapters and roles from the declared placement

Cause: engines accept orders to load, but nothing decided what each should have, and some engines ignore fencing numbers. Change: package orders. PlanKeeper keeps one placement in the store, OrderDesk lets the exclusive owner of an endpoint drain it and order a load, within bounds on loads at a time, loads a minute and the share of a model's engines. Ruled out: a placement per instance, a leader, timestamps for the rate. Before: no orders. Conclusion: the decision part stands; it is not wired yet.

--- /dev/null
+++ b/src/main/java/org/jujuberouter/orders/Plan.java
@@ -0,0 +1,71 @@
+package org.jujuberouter.orders;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.misc.Json;
+import org.jujuberouter.platform.PlatformException;
+import org.jujuberouter.platform.StoreEntry;
+
+/**
+ * The declared placement: the value of the store key {@code orders/plan}.
+ *
+ * @param settingsVersion the version of the settings from which it follows
+ * @param targets the target of each engine
+ */
+public record Plan(long settingsVersion, Map<EndpointId, Target> targets) {
+    static final String KEY = "orders/plan";
+
+    /** Copies the map. */
+    public Plan {
+        targets = Map.copyOf(targets);
+    }
+
+    /** Returns the plan before anything was declared. */
+    public static Plan empty() {
+        return new Plan(0, Map.of());
+    }
+
+    byte[] encode() {
+        ObjectNode node = Json.MAPPER.createObjectNode().put("settingsVersion", settingsVersion);
+        ObjectNode all = node.putObject("targets");
+        Map<String, Target> sorted = new TreeMap<>();
+        targets.forEach((e, t) -> sorted.put(e.value(), t));
+        sorted.forEach((e, t) -> all.set(e, encode(t)));
+        return node.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    static Plan decode(StoreEntry entry) throws PlatformException {
+        try {
+            JsonNode node = Json.MAPPER.readTree(entry.value());
+            Map<EndpointId, Target> targets = new HashMap<>();
+            for (Map.Entry<String, JsonNode> e : node.path("targets").properties()) {
+                targets.put(EndpointId.of(e.getKey()), decode(e.getValue()));
+            }
+            return new Plan(node.path("settingsVersion").asLong(), targets);
+        } catch (IOException | IllegalArgumentException e) {
+            throw PlatformException.refused("read " + KEY, "the value is not a plan: " + e.getMessage());
+        }
+    }
+
+    static ObjectNode encode(Target target) {
+        return Json.MAPPER
+                .createObjectNode()
+                .put("model", target.content().model())
+                .put("adapter", target.content().adapter())
+                .put("version", target.content().version())
+                .put("role", target.role().name());
+    }
+
+    static Target decode(JsonNode node) {
+        Content content = Content.of(
+                node.path("model").asText(),
+                node.path("adapter").asText(),
+                node.path("version").asText());
+        return Target.of(content, Role.valueOf(node.path("role").asText()));
+    }
+}
--- a/src/main/java/org/jujuberouter/settings/SettingsSchema.java
+++ b/src/main/java/org/jujuberouter/settings/SettingsSchema.java
@@ -47,7 +47,8 @@
     private static final String[] EVERY_CALLER = {GLOBAL, SERVICE, SERVICE_CUSTOMER, CUSTOMER};
     private static final String[] BY_SERVICE = {GLOBAL, SERVICE, SERVICE_CUSTOMER};
     private static final String NAME_WORDS = "letters, digits and . _ : @ -, at most 100 characters each";
-    private static final SettingsSchema STANDARD = new SettingsSchema(concat(identities(), concat(limits(), tuning())));
+    private static final SettingsSchema STANDARD =
+            new SettingsSchema(concat(concat(identities(), limits()), concat(tuning(), orders())));
 
     private final Map<String, Setting> byName;
 
@@ -141,6 +142,17 @@
                 Setting.of("context-tokens", INTEGER, "tokens", "Longest prompt and answer of the model.", MODEL)
                         .range(1, 10_000_000)
                         .defaultsTo("1000000"),
+                Setting.of(
+                                "engines",
+                                NUMBER,
+                                "",
+                                "Weight of the model when the service's engines are divided among its models. No engine of"
+                                        + " the service gets orders unless all its models have one.",
+                                MODEL)
+                        .range(0, 10_000),
+                Setting.of("prefill-share", NUMBER, "", "Share of the model's engines that only prefill.", MODEL)
+                        .range(0, 1)
+                        .defaultsTo("0"),
                 Setting.of(
                                 KEY_HASH,
                                 TEXT,
@@ -251,6 +263,35 @@
                         .defaultsTo("0.1"));
     }
 
+    private static List<Setting> orders() {
+        return List.of(
+                Setting.of(
+                                "orders.loads-at-once",
+                                INTEGER,
+                                "loads",
+                                "Loads of weights under way at the same time.",
+                                GLOBAL)
+                        .range(0, 1000)
+                        .defaultsTo("2"),
+                Setting.of(
+                                "orders.loads-per-minute",
+                                INTEGER,
+                                "loads",
+                                "Loads of weights started within a minute.",
+                                GLOBAL)
+                        .range(0, 1000)
+                        .defaultsTo("6"),
+                Setting.of(
+                                "orders.out-share",
+                                NUMBER,
+                                "",
+                                "Share of a model's engines that loads may take out of service at once; one is always"
+                                        + " allowed.",
+                                GLOBAL)
+                        .range(0.01, 1)
+                        .defaultsTo("0.25"));
+    }
+
     private static List<Setting> concat(List<Setting> a, List<Setting> b) {
         return java.util.stream.Stream.concat(a.stream(), b.stream()).toList();
     }
--- a/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
+++ b/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
@@ -46,6 +46,7 @@
             Map.entry("limits", Set.of()),
             Map.entry("memory", Set.of()),
             Map.entry("outcome", Set.of("error", "platform")),
+            Map.entry("orders", Set.of("platform", "settings")),
             Map.entry("quarantine", Set.of()),
             Map.entry("stream", Set.of()),
             Map.entry("settings", Set.of("platform")));
--- /dev/null
+++ b/src/test/java/org/jujuberouter/orders/LossyStore.java
@@ -0,0 +1,63 @@
+package org.jujuberouter.orders;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.jujuberouter.platform.LeaseId;
+import org.jujuberouter.platform.PlatformException;
+import org.jujuberouter.platform.PlatformStore;
+import org.jujuberouter.platform.StoreEntry;
+import org.jujuberouter.platform.WriteOutcome;
+
+/** A store that loses requests and replies of some writes. */
+record LossyStore(PlatformStore inner, SplittableRandom random, double losses) implements PlatformStore {
+    private WriteOutcome lost() {
+        return new WriteOutcome.Unknown(PlatformException.unavailable("write", new java.io.IOException("lost")));
+    }
+
+    @Override
+    public Optional<StoreEntry> read(String key) throws PlatformException {
+        return inner.read(key);
+    }
+
+    @Override
+    public List<StoreEntry> list(String prefix) throws PlatformException {
+        return inner.list(prefix);
+    }
+
+    @Override
+    public WriteOutcome compareAndSet(String key, long expected, byte[] value, LeaseId lease) {
+        double roll = random.nextDouble();
+        if (roll < losses / 2) {
+            return lost();
+        }
+        WriteOutcome outcome = inner.compareAndSet(key, expected, value, lease);
+        return roll < losses ? lost() : outcome;
+    }
+
+    @Override
+    public WriteOutcome delete(String key, long expected) {
+        return inner.delete(key, expected);
+    }
+
+    @Override
+    public LeaseId grantLease(Duration timeToLive) throws PlatformException {
+        return inner.grantLease(timeToLive);
+    }
+
+    @Override
+    public boolean renewLease(LeaseId lease) throws PlatformException {
+        return inner.renewLease(lease);
+    }
+
+    @Override
+    public void revokeLease(LeaseId lease) throws PlatformException {
+        inner.revokeLease(lease);
+    }
+
+    @Override
+    public Optional<StoreEntry> watch(String key, long after, Duration wait) throws PlatformException {
+        return inner.watch(key, after, wait);
+    }
+}
