Keep long prompts off the large engines and compare more engines for each prompt

Short prompts of 3,000 to 8,192 tokens, which make the 95th percentile, run on one of the three large engines, twice as fast as the others, in 90 to 95 in 100 cases without long prompts, and in 68 to 72 in 100 with them. The long subset consisted of exactly these three engines. A short prompt either prefilled at half the speed elsewhere or waited for steps filled by a long prefill.

Change: the long subset is the third of each domain, rounded up, with the least memory. The third with the most memory takes prompts that fit nowhere else, and all long prompts while the ordinary third has more than 10 s of work. Four endpoints instead of two are drawn from the nearest domain and from all, so that a draw rarely misses the free fast engines.

Cost: prompts of about 100,000 tokens take longer in the users' mixes, since ordinary engines process half as many tokens a second.

--- a/src/main/java/org/jujuberouter/routing/RouteDecision.java
+++ b/src/main/java/org/jujuberouter/routing/RouteDecision.java
@@ -16,6 +16,8 @@
     private static final int HOME_DEPTH = 4;
 
     private static final int MAX_HOLDERS_CONSIDERED = 2;
+    /** Two would often miss all fast endpoints without a long prefill, when those are few. */
+    private static final int RANDOM_CHOICES = 4;
 
     private final RoutingSettings settings;
     private final RouteRequest request;
@@ -81,7 +83,7 @@
         });
     }
 
-    /** Considers two different endpoints; one drawn twice would leave no choice. */
+    /** Considers a few endpoints, at least two different ones; one drawn twice would leave no choice. */
     private void considerRandom(EndpointState[] endpoints, SplittableRandom random) {
         int count = RouteGroup.Pool.fitting(endpoints, leastKvTokens);
         if (count == 0) {
@@ -92,6 +94,9 @@
         if (count > 1) {
             consider(endpoints[(first + 1 + random.nextInt(count - 1)) % count], 0);
         }
+        for (int i = 2; i < RANDOM_CHOICES && count > 2; i++) {
+            consider(endpoints[random.nextInt(count)], 0);
+        }
     }
 
     private void consider(EndpointState endpoint, long cachedTokens) {
--- a/src/main/java/org/jujuberouter/routing/RouteGroup.java
+++ b/src/main/java/org/jujuberouter/routing/RouteGroup.java
@@ -1,6 +1,7 @@
 package org.jujuberouter.routing;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -8,21 +9,29 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 import org.jujuberouter.id.FailureDomain;
 
 /**
  * The endpoints of one placement; built anew when endpoints or their conditions change, which is rare.
  *
- * <p>Long prompts use a third of the endpoints of each domain, at least one. Endpoints with the most memory are chosen
- * first, since a prompt that fits nowhere else must be able to use them, and rendezvous hashing decides among equals.
+ * <p>Long prompts use a third of the endpoints of each domain. Those with the least memory are chosen first: large endpoints
+ * are usually the fast ones, on which short prompts of a few thousand tokens depend for their first token. The third with
+ * the most memory serves the prompts that fit nowhere else, and takes over when the others are saturated. Rendezvous hashing
+ * decides among endpoints of equal memory.
  */
 final class RouteGroup {
     private static final int LONG_SUBSET_DIVISOR = 3;
+    /** A prompt of 200,000 tokens takes about as long at the default rate. */
+    private static final double LONG_SPILL_SECONDS = 10;
 
     final long largestKvTokens;
     final Pool serving;
-    final Pool longSubset;
+    /** The third of each domain with the least memory, rounded up since these endpoints are the slower ones. */
+    final Pool longOrdinary;
+    /** The third of each domain with the most memory, at least one. */
+    final Pool longLarge;
 
     RouteGroup(Placement placement, Collection<EndpointState> members, RoutingSettings settings) {
         largestKvTokens =
@@ -31,13 +40,22 @@
                 .filter(e -> e.condition == EndpointCondition.SERVING)
                 .toList();
         serving = new Pool(ready, settings);
-        longSubset = settings.longSubset() ? new Pool(chooseLong(placement, ready), settings) : serving;
+        Comparator<EndpointState> byMemory = Comparator.comparingLong(e -> e.spec.kvTokens());
+        longOrdinary = new Pool(chooseLong(placement, ready, byMemory, LONG_SUBSET_DIVISOR - 1), settings);
+        longLarge = new Pool(chooseLong(placement, ready, byMemory.reversed(), 0), settings);
     }
 
-    private static List<EndpointState> chooseLong(Placement placement, List<EndpointState> ready) {
+    /** Returns the endpoints for a prompt that needs an endpoint of the given memory; empty if none is large enough. */
+    Pool longPool(long leastKvTokens, ToDoubleFunction<EndpointState> wait) {
+        double ordinary = longOrdinary.leastWait(leastKvTokens, wait);
+        return ordinary < LONG_SPILL_SECONDS || ordinary < longLarge.leastWait(leastKvTokens, wait)
+                ? longOrdinary
+                : longLarge;
+    }
+
+    private static List<EndpointState> chooseLong(
+            Placement placement, List<EndpointState> ready, Comparator<EndpointState> byMemory, int roundUp) {
         long key = PromptBlocks.mix(placement.toString().hashCode());
-        Comparator<EndpointState> byMemory =
-                Comparator.comparingLong((EndpointState e) -> e.spec.kvTokens()).reversed();
         Comparator<EndpointState> order =
                 byMemory.thenComparingLong(e -> rendezvousScore(key, e)).thenComparing(e -> e.spec.id());
         Map<FailureDomain, List<EndpointState>> byDomain =
@@ -46,7 +64,7 @@
         for (List<EndpointState> members : byDomain.values()) {
             members.stream()
                     .sorted(order)
-                    .limit(Math.max(1, members.size() / LONG_SUBSET_DIVISOR))
+                    .limit(Math.max(1, (members.size() + roundUp) / LONG_SUBSET_DIVISOR))
                     .forEach(chosen::add);
         }
         return chosen;
@@ -76,6 +94,14 @@
             return members.contains(endpoint);
         }
 
+        /** Returns the shortest wait at an endpoint that could hold the tokens; infinite if there is none. */
+        double leastWait(long neededTokens, ToDoubleFunction<EndpointState> wait) {
+            return Arrays.stream(all, 0, fitting(all, neededTokens))
+                    .mapToDouble(wait)
+                    .min()
+                    .orElse(Double.POSITIVE_INFINITY);
+        }
+
         /** Returns how many endpoints at the start of the array could hold the tokens. */
         static int fitting(EndpointState[] endpoints, long neededTokens) {
             int low = 0;
--- a/src/main/java/org/jujuberouter/routing/Router.java
+++ b/src/main/java/org/jujuberouter/routing/Router.java
@@ -21,7 +21,7 @@
  *   <li>those believed to hold the longest prefix, and the <em>home</em> of the prefix, which all instances derive by
  *       rendezvous hashing without a message; both only while their load is below a factor of the mean, so that a hot
  *       prefix cannot overload an endpoint, and
- *   <li>two at random from the nearest domain that serves, and two at random from all, so that instances with the same
+ *   <li>four at random from the nearest domain that serves, and four at random from all, so that instances with the same
  *       old reports do not all choose the same endpoint, and so that load spills over to other domains.
  * </ul>
  *
@@ -165,8 +165,9 @@
         if (request.neededTokens() > largest) {
             return new RouteResult.TooLarge(request.neededTokens(), largest);
         }
-        RouteGroup.Pool pool = confined ? group.longSubset : group.serving;
-        RouteDecision decision = new RouteDecision(settings, request, pool, memoryShare, ticker.nanos());
+        long now = ticker.nanos();
+        RouteGroup.Pool pool = confined ? longPool(group, request, memoryShare, now) : group.serving;
+        RouteDecision decision = new RouteDecision(settings, request, pool, memoryShare, now);
         List<EndpointId> found =
                 request.pinned().map(decision::byFingerprint).orElseGet(() -> decision.byCost(beliefs, random));
         if (!found.isEmpty()) {
@@ -178,6 +179,18 @@
         return new RouteResult.NoneAvailable("all endpoints that are large enough were tried or are out of service");
     }
 
+    private RouteGroup.Pool longPool(RouteGroup group, RouteRequest request, double memoryShare, long now) {
+        long needed = (long) Math.ceil(request.neededTokens() / memoryShare);
+        // All instances must send a pinned request to the same endpoint, although they see different loads.
+        boolean pinned = request.pinned().isPresent();
+        return group.longPool(needed, e -> {
+            if (request.excluded().contains(e.spec.id())) {
+                return Double.POSITIVE_INFINITY;
+            }
+            return pinned ? 0 : e.load(now, Lane.LONG, settings);
+        });
+    }
+
     /** Returns the number of prefix blocks remembered. */
     public synchronized int rememberedBlocks() {
         return beliefs.size();
