Add an experiment on memory held for slow readers

Cause: the memory held for slow readers had no figure against a baseline.

Change: `jujuberouter experiment slow-readers` runs 1,000 streams of one instance in virtual time (600 callers at 1 kB/s, 200 at 10 kB/s, 200 fast) through MemoryLedger and through an unbounded buffer.

Ruled out: nothing else was tried. Wholeness is counted in bytes in order, and an engine is assumed to keep its text until the stream has resumed.

--- a/src/main/java/org/jujuberouter/cli/ExperimentCommand.java
+++ b/src/main/java/org/jujuberouter/cli/ExperimentCommand.java
@@ -4,6 +4,7 @@
 import org.jujuberouter.experiment.CostExperiment;
 import org.jujuberouter.experiment.LanesExperiment;
 import org.jujuberouter.experiment.RoutingExperiment;
+import org.jujuberouter.experiment.SlowReadersExperiment;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -43,4 +44,11 @@
         CostExperiment.print(CostExperiment.of(requests).run(seed), System.out);
         return 0;
     }
+
+    @Command(name = "slow-readers", description = "Measures the memory held for slow readers, against no bound.")
+    int slowReaders(
+            @Option(names = "--seed", defaultValue = "1", description = "Seed of lengths and starts.") long seed) {
+        SlowReadersExperiment.print(SlowReadersExperiment.create().run(seed), System.out);
+        return 0;
+    }
 }
