--- a/src/main/java/org/jujuberouter/cli/StandinEndpointCommands.java
+++ b/src/main/java/org/jujuberouter/cli/StandinEndpointCommands.java
@@ -43,14 +43,35 @@
                 description = "Time until the engine is back after a crash (default ${DEFAULT-VALUE}).")
         private long restartDelayMs;
 
+        @Option(
+                names = "--slots",
+                defaultValue = "128",
+                description = "Requests that run at the same time (default ${DEFAULT-VALUE}).")
+        private int slots;
+
+        @Option(
+                names = "--step-micros",
+                defaultValue = "13000",
+                description = "Time of a step with an empty batch, in microseconds (default ${DEFAULT-VALUE}).")
+        private long stepMicros;
+
+        @Option(
+                names = "--linger-ms",
+                defaultValue = "30000",
+                description = "How long a completed request stays known (default ${DEFAULT-VALUE}).")
+        private long lingerMs;
+
         @Override
         public Integer call() throws IOException, InterruptedException {
+            EngineSettings defaults = EngineSettings.defaults();
+            EngineSettings settings = EngineSettings.builder()
+                    .kvTokens(kvTokens)
+                    .maxBatch(slots)
+                    .stepTime(Duration.ofNanos(stepMicros * 1000), defaults.stepPerSequence())
+                    .linger(Duration.ofMillis(lingerMs))
+                    .build();
             EngineServer server = EngineServer.start(
-                    port,
-                    EngineSettings.builder().kvTokens(kvTokens).build(),
-                    LoadedModel.of(model, "", ""),
-                    Duration.ofMillis(restartDelayMs),
-                    cold);
+                    port, settings, LoadedModel.of(model, "", ""), Duration.ofMillis(restartDelayMs), cold);
             System.out.println("engine at " + server.address());
             StandinCommand.awaitStop(server);
             return 0;
--- a/src/test/java/org/jujuberouter/process/ChildProcess.java
+++ b/src/test/java/org/jujuberouter/process/ChildProcess.java
@@ -39,6 +39,11 @@
         return firstLine.replaceFirst("^.*? at (http:/+)?", "").replaceFirst("[,/ ].*", "");
     }
 
+    /** Returns where faults are set, for a store. */
+    String controlAddress() {
+        return firstLine.replaceFirst(".*control at http:/+", "");
+    }
+
     /** Returns where other instances connect, for an entry instance. */
     String peerAddress() {
         return firstLine.replaceFirst(".*peers at /+", "");
@@ -53,6 +58,24 @@
         new ProcessBuilder("kill", "-" + name, Long.toString(pid())).start().waitFor();
     }
 
+    /** Ends the process without a chance to clean up, as a lost machine would. */
+    void kill() {
+        process.destroyForcibly();
+        process.onExit().join();
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Waits for the end and returns the exit code. */
+    int awaitExit(long seconds) throws InterruptedException {
+        if (!process.waitFor(seconds, TimeUnit.SECONDS)) {
+            throw new AssertionError("process " + pid() + " did not end within " + seconds + " s");
+        }
+        return process.exitValue();
+    }
+
     @Override
     public void close() {
         process.destroy();
