End with exit code 0 when told to stop

Cause: the JVM ends with 143 after SIGTERM even when its shutdown hook finished, while the command documents 0. Change: the hook halts with 0 once the server has closed. Ruled out: a signal handler, which needs an internal JDK class. After: 0 (InstanceFailuresTest, planned stop).

--- a/src/main/java/org/jujuberouter/cli/StandinCommand.java
+++ b/src/main/java/org/jujuberouter/cli/StandinCommand.java
@@ -31,6 +31,8 @@
                 System.err.println("the stand-in did not close: " + e.getMessage());
             }
             stopped.countDown();
+            // The JVM would end with 143 after SIGTERM, which supervisors take for a failure.
+            Runtime.getRuntime().halt(0);
         }));
         stopped.await();
     }
