Cancel an earlier owner's work that its live holder has ended, and read the engine's final event

Cause: requests stayed at engines after an instance was killed. The release of work goes to the endpoint's owner; when that one died, its successor found the work in the engine's list with an older fencing number and a live holder, and kept it for good. Also, a reader was closed after the last piece and before the final event, so that the engine kept that piece as unread. Change: an owner asks holders of an earlier owner's work too; what a holder does not name has ended and is cancelled after 5 s. The reader of a finished answer takes the final event, for up to 2 s. Test: EndpointBookTest.cancelsAnEarlierOwnersWorkThatItsLiveHolderNoLongerHas.

--- a/src/main/java/org/jujuberouter/admission/EndpointBook.java
+++ b/src/main/java/org/jujuberouter/admission/EndpointBook.java
@@ -217,6 +217,11 @@
         pump(now);
     }
 
+    /** Returns the holders to ask which work they still have; see {@link #holderReport}. */
+    public synchronized Set<Incarnation> holdersBefore(long time) {
+        return inFlight.holdersBefore(time);
+    }
+
     /** Takes over all permits of an owner that released the endpoint under the given fencing number. */
     public synchronized void handover(long fence, Collection<Permit> permits) {
         permits.forEach(inFlight::add);
--- a/src/main/java/org/jujuberouter/admission/InFlight.java
+++ b/src/main/java/org/jujuberouter/admission/InFlight.java
@@ -31,6 +31,7 @@
     private final Holders holders;
     private final Map<RequestId, Entry> permits = new LinkedHashMap<>();
     private final Map<RequestId, EngineRequest> foreign = new HashMap<>();
+    private final Map<RequestId, Long> foreignSince = new HashMap<>();
     private final Map<RequestId, Long> orphans = new HashMap<>();
     private final Map<RequestId, Long> ended = new LinkedHashMap<>();
     private final Map<Fingerprint, RequestId> fingerprints = new HashMap<>();
@@ -154,7 +155,11 @@
         return Optional.of(entry.permit);
     }
 
-    /** Drops the unused permits of a holder that says, as of a time, which ones it holds. */
+    /**
+     * Takes in which work a holder has as of a time: its unused permits that it does not name are dropped, and an earlier
+     * owner's work at the engine that it does not name has ended and becomes an orphan. The release of such work went to
+     * the earlier owner, which may have died before it could act on it.
+     */
     void onlyHeldBy(Incarnation holder, Set<RequestId> held, long asOf, long now) {
         for (Entry entry : List.copyOf(permits.values())) {
             boolean its = entry.permit.request().holder().equals(holder) && !held.contains(entry.permit.id());
@@ -162,6 +167,28 @@
                 end(entry.permit.id(), now);
             }
         }
+        for (EngineRequest row : foreign.values()) {
+            boolean its = row.holder().equals(holder) && !held.contains(row.id());
+            if (its && foreignSince.get(row.id()) - asOf < 0) {
+                ended.put(row.id(), asOf);
+            }
+        }
+    }
+
+    /** Returns who holds permits granted before a time, or work of an earlier owner that was seen before it. */
+    Set<Incarnation> holdersBefore(long time) {
+        Set<Incarnation> result = new HashSet<>();
+        for (Entry entry : permits.values()) {
+            if (entry.permit.grantedNanos() - time < 0) {
+                result.add(entry.permit.request().holder());
+            }
+        }
+        for (EngineRequest row : foreign.values()) {
+            if (foreignSince.get(row.id()) - time < 0) {
+                result.add(row.holder());
+            }
+        }
+        return result;
     }
 
     /** Frees the permits of holders that are gone and that no list will show any more. */
@@ -202,6 +229,7 @@
                 orphan |= entry.endedAt != null;
             } else {
                 replaceForeign(row);
+                foreignSince.putIfAbsent(row.id(), now);
                 orphan |= endedAt != null || (row.fence() == 0 ? !adopt : row.fence() >= firstFence);
             }
             if (!orphan) {
@@ -220,6 +248,7 @@
                 removeForeign(id);
             }
         }
+        foreignSince.keySet().retainAll(foreign.keySet());
         for (Entry entry : List.copyOf(permits.values())) {
             boolean wasThere = entry.started && entry.startedAt - asked < 0;
             boolean over = entry.endedAt != null && entry.endedAt - asked < 0;
--- a/src/main/java/org/jujuberouter/entry/EngineAttempt.java
+++ b/src/main/java/org/jujuberouter/entry/EngineAttempt.java
@@ -39,6 +39,7 @@
 final class EngineAttempt {
     private static final Logger LOG = System.getLogger(EngineAttempt.class.getName());
     private static final Duration PROBE_TIMEOUT = Duration.ofMillis(900);
+    private static final Duration FINAL_EVENT_WAIT = Duration.ofSeconds(2);
     private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(2);
     private static final int UNKNOWN_REQUEST = 404;
     private static final long MAX_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
@@ -279,7 +280,11 @@
 
     /** Stops reading and has the engine forget what this attempt may still hold there. */
     private void end() {
-        if (reader != null) {
+        if (reader != null && completed) {
+            // The engine holds the last piece until it could send its final event, which the reader still takes.
+            EngineReader last = reader;
+            Thread.ofVirtual().name("engine-end-" + attemptId).start(() -> last.abandonAfter(FINAL_EVENT_WAIT));
+        } else if (reader != null) {
             reader.abandon();
         }
         if (sent && !completed) {
--- a/src/main/java/org/jujuberouter/entry/EngineReader.java
+++ b/src/main/java/org/jujuberouter/entry/EngineReader.java
@@ -3,7 +3,9 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.jujuberouter.engine.EngineCall;
@@ -42,6 +44,7 @@
     private final Semaphore wake;
     private final BlockingQueue<Event> queue;
     private final Ticker ticker;
+    private final CountDownLatch ended = new CountDownLatch(1);
     private volatile boolean abandoned;
     private volatile EngineStream stream;
     private boolean resuming;
@@ -125,6 +128,7 @@
             Thread.currentThread().interrupt();
         } finally {
             closeStream();
+            ended.countDown();
         }
     }
 
@@ -135,6 +139,18 @@
         closeStream();
     }
 
+    /** Gives this connection up unless it ends by itself before. */
+    void abandonAfter(Duration wait) {
+        try {
+            if (!ended.await(wait.toMillis(), TimeUnit.MILLISECONDS)) {
+                abandon();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            abandon();
+        }
+    }
+
     private void closeStream() {
         EngineStream open = stream;
         if (open != null) {
--- a/src/main/java/org/jujuberouter/entry/InstanceRuntime.java
+++ b/src/main/java/org/jujuberouter/entry/InstanceRuntime.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
@@ -308,11 +307,7 @@
     void queryHolders() {
         long asked = ticker.nanos() - Permit.LIFE.toNanos();
         for (EndpointId endpoint : ownership.owned()) {
-            Set<Incarnation> holders = desk.book(endpoint).permits().stream()
-                    .filter(p -> p.grantedNanos() - asked < 0)
-                    .map(p -> p.request().holder())
-                    .collect(Collectors.toUnmodifiableSet());
-            for (Incarnation holder : holders) {
+            for (Incarnation holder : desk.book(endpoint).holdersBefore(asked)) {
                 if (holder.equals(self())) {
                     List<PermitRequest> held =
                             broker.held(endpoint).stream().map(Permit::request).toList();
--- a/src/test/java/org/jujuberouter/admission/EndpointBookTest.java
+++ b/src/test/java/org/jujuberouter/admission/EndpointBookTest.java
@@ -196,6 +196,18 @@
         assertEquals(0, book.figures().own().slots() + book.figures().foreign().slots());
     }
 
+    /** Guards against work that stays at an engine because its release went to an owner that died. */
+    @Test
+    void cancelsAnEarlierOwnersWorkThatItsLiveHolderNoLongerHas() {
+        mandate = held(5);
+        engine.add(new EngineRequest(RequestId.of("old"), HOLDER, 4, Lane.SHORT, 1, false));
+        assertEquals(List.of(), poll(20, false), "the holder is alive and may still read");
+        assertEquals(Set.of(HOLDER), book.holdersBefore(ticker.nanos()));
+        book.holderReport(HOLDER, List.of(), ticker.nanos());
+        assertEquals(List.of(), poll(5, false));
+        assertEquals(List.of(RequestId.of("old")), poll(2, false));
+    }
+
     @Test
     void countsAnUnusedPermitUntilItsHolderAnswers() {
         Permit first = granted(ask(Lane.SHORT, 1));
