Ask an owner or arbiter that did not answer only once a second

Cause: InstanceFailuresTest.keepsEnginesWithinTheirSlots...: 9 answers in 15 s beside a frozen instance; every request waited up to 700 ms for the frozen owner in each round, and 500 ms for a frozen arbiter.

--- a/src/main/java/org/jujuberouter/entry/PermitBroker.java
+++ b/src/main/java/org/jujuberouter/entry/PermitBroker.java
@@ -37,12 +37,16 @@
     private static final Duration CALL_TIMEOUT = PermitDesk.HOLD.plusMillis(400);
     private static final int MAX_REDIRECTS = 2;
 
+    /** An owner that did not answer is not asked for this time, so that a frozen one does not hold up every request. */
+    private static final long SILENT_OWNER_NANOS = Duration.ofSeconds(1).toNanos();
+
     private final Ticker ticker;
     private final PermitDesk desk;
     private final Ownership ownership;
     private final PeerNetwork network;
     private final Function<EndpointId, String> crashIds;
     private final Map<RequestId, Held> held = new ConcurrentHashMap<>();
+    private final Map<InstanceId, Long> silentUntil = new ConcurrentHashMap<>();
 
     private PermitBroker(
             Ticker ticker,
@@ -154,12 +158,17 @@
     }
 
     private Asked askPeer(InstanceId owner, EndpointId endpoint, PermitRequest request) throws InterruptedException {
+        Long until = silentUntil.get(owner);
+        if (until != null && ticker.nanos() - until < 0) {
+            return Asked.of(new Decision.Refused(new Refusal.NotReporting()));
+        }
         try {
             PeerMessage.PermitReply reply =
                     network.call(owner, PermitWire.toMessage(endpoint, request, ticker), CALL_TIMEOUT);
             String crashId = reply.decision() instanceof PeerMessage.Granted g ? g.crashId() : "";
             return new Asked(PermitWire.fromMessage(reply.decision(), request, ticker), crashId);
         } catch (PeerException e) {
+            silentUntil.put(owner, ticker.nanos() + SILENT_OWNER_NANOS);
             LOG.log(Level.DEBUG, "[permits] Owner {0} of {1} did not answer: {2}", owner, endpoint, e.getMessage());
             return Asked.of(new Decision.Refused(new Refusal.NotReporting()));
         }
--- a/src/main/java/org/jujuberouter/entry/RunConsent.java
+++ b/src/main/java/org/jujuberouter/entry/RunConsent.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.jujuberouter.id.Fingerprint;
 import org.jujuberouter.id.InstanceId;
@@ -27,6 +29,7 @@
  */
 final class RunConsent {
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(500);
+    private static final long SILENT_ARBITER_NANOS = Duration.ofSeconds(1).toNanos();
 
     private final InstanceId self;
     private final Ticker ticker;
@@ -34,6 +37,7 @@
     private final RunArbiter arbiter;
     private final PeerNetwork network;
     private final Supplier<Set<InstanceId>> live;
+    private final Map<InstanceId, Long> silentUntil = new ConcurrentHashMap<>();
 
     private RunConsent(
             InstanceId self,
@@ -63,18 +67,25 @@
 
     Consent ask(Fingerprint fingerprint, RequestId run, Duration timeLeft) throws InterruptedException {
         InstanceId first = arbiterOf(fingerprint);
-        if (!first.equals(self)) {
+        if (!first.equals(self) && !isSilent(first)) {
             try {
                 PeerMessage.RunReply reply = network.call(
                         first, new PeerMessage.RunRequest(0, fingerprint, run, timeLeft.toMillis()), CALL_TIMEOUT);
                 return new Consent(decision(reply), first);
             } catch (PeerException e) {
-                // The own arbiter decides below.
+                // The own arbiter decides below, and for a while without asking, so that a frozen one delays few
+                // requests.
+                silentUntil.put(first, ticker.nanos() + SILENT_ARBITER_NANOS);
             }
         }
         return new Consent(arbiter.request(fingerprint, run, timeLeft), self);
     }
 
+    private boolean isSilent(InstanceId instance) {
+        Long until = silentUntil.get(instance);
+        return until != null && ticker.nanos() - until < 0;
+    }
+
     private RunDecision decision(PeerMessage.RunReply reply) {
         reply.marks().forEach(m -> evidence.merge(notice(m)));
         return switch (reply.verdict()) {
