--- a/src/main/java/org/jujuberouter/capacity/CapacitySite.java
+++ b/src/main/java/org/jujuberouter/capacity/CapacitySite.java
@@ -18,12 +18,12 @@
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.misc.Ticker;
 import org.jujuberouter.peer.PeerTraffic;
-import org.jujuberouter.platform.HttpPlatformStore;
-import org.jujuberouter.platform.ListedMember;
 import org.jujuberouter.settings.SettingsChange;
 import org.jujuberouter.settings.SettingsEditor;
 import org.jujuberouter.settings.SettingsResult;
 import org.jujuberouter.standin.StoreServer;
+import org.jujuberouter.store.HttpPlatformStore;
+import org.jujuberouter.store.ListedMember;
 
 /**
  * Entry instances in this process against a stand-in store, list and idle engines, all on loopback.
--- a/src/main/java/org/jujuberouter/capacity/LightPlatform.java
+++ b/src/main/java/org/jujuberouter/capacity/LightPlatform.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jujuberouter.misc.Json;
-import org.jujuberouter.platform.ListedMember;
+import org.jujuberouter.store.ListedMember;
 
 /**
  * The platform's list and any number of idle engines behind one port, with answers that are encoded in advance.
--- a/src/main/java/org/jujuberouter/capacity/MicroMeasurements.java
+++ b/src/main/java/org/jujuberouter/capacity/MicroMeasurements.java
@@ -39,7 +39,6 @@
 import org.jujuberouter.peer.PeerCodec;
 import org.jujuberouter.peer.PeerMessage;
 import org.jujuberouter.peer.PeerSamples;
-import org.jujuberouter.platform.ListedMember;
 import org.jujuberouter.routing.EndpointSpec;
 import org.jujuberouter.routing.Placement;
 import org.jujuberouter.routing.PromptBlocks;
@@ -49,6 +48,7 @@
 import org.jujuberouter.routing.RoutingSettings;
 import org.jujuberouter.settings.Settings;
 import org.jujuberouter.settings.SettingsDocument;
+import org.jujuberouter.store.ListedMember;
 
 /** Measures single operations at the size to design for, each on one thread after a warm-up of the same length. */
 public final class MicroMeasurements {
--- /dev/null
+++ b/src/main/java/org/jujuberouter/catalog/Catalog.java
@@ -0,0 +1,83 @@
+package org.jujuberouter.catalog;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jujuberouter.id.ServiceName;
+
+/**
+ * One version of the operator's configuration, indexed for lookups.
+ *
+ * <p>Routes are kept by host in order of falling prefix length, so that the first match is the longest.
+ */
+public final class Catalog {
+    private final long version;
+    private final Map<String, List<Route>> routes = new HashMap<>();
+    private final Map<ServiceName, ServiceSpec> services = new HashMap<>();
+    private final Map<String, Customer> customers;
+    private final CallerLimits limits;
+
+    private Catalog(long version, Map<String, Customer> customers, CallerLimits limits) {
+        this.version = version;
+        this.customers = Map.copyOf(customers);
+        this.limits = limits;
+    }
+
+    /** Returns the catalog with the given content; customers are given by API key. */
+    public static Catalog of(
+            long version,
+            Collection<Route> routes,
+            Collection<ServiceSpec> services,
+            Map<String, Customer> customers,
+            CallerLimits limits) {
+        Catalog made = new Catalog(version, customers, limits);
+        for (Route r : routes) {
+            made.routes.computeIfAbsent(r.host(), _ -> new ArrayList<>()).add(r);
+        }
+        made.routes
+                .values()
+                .forEach(l ->
+                        l.sort(Comparator.comparingInt((Route r) -> -r.prefix().length())));
+        services.forEach(s -> made.services.put(s.name(), s));
+        return made;
+    }
+
+    /** Returns the operator's version number. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns the limits on callers. */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** Returns the route with the longest prefix of the path among those of the host. */
+    public Optional<Route> route(String host, String path) {
+        for (Route r : routes.getOrDefault(host, List.of())) {
+            if (path.startsWith(r.prefix())) {
+                return Optional.of(r);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the customer that holds the key. */
+    public Optional<Customer> customer(String apiKey) {
+        return Optional.ofNullable(customers.get(apiKey));
+    }
+
+    /** Tells whether calls need a key, unless their route is open. */
+    public boolean requiresKeys() {
+        return !customers.isEmpty();
+    }
+
+    /** Returns the service as declared. */
+    public Optional<ServiceSpec> service(ServiceName name) {
+        return Optional.ofNullable(services.get(name));
+    }
+}
--- a/src/main/java/org/jujuberouter/cli/ChangeCommand.java
+++ b/src/main/java/org/jujuberouter/cli/ChangeCommand.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
-import org.jujuberouter.platform.PlatformException;
 import org.jujuberouter.settings.ChangeRecord;
 import org.jujuberouter.settings.SettingsChange;
 import org.jujuberouter.settings.SettingsDocument;
@@ -14,6 +13,7 @@
 import org.jujuberouter.settings.SettingsError;
 import org.jujuberouter.settings.SettingsException;
 import org.jujuberouter.settings.SettingsResult;
+import org.jujuberouter.store.PlatformException;
 import picocli.CommandLine.Option;
 
 /** Base of the commands that change settings: reads, builds the change, applies it and reports how it ended. */
--- a/src/main/java/org/jujuberouter/cli/EndpointCommand.java
+++ b/src/main/java/org/jujuberouter/cli/EndpointCommand.java
@@ -5,13 +5,13 @@
 import java.util.List;
 import java.util.Map;
 import org.jujuberouter.id.EndpointId;
-import org.jujuberouter.platform.HttpInstanceList;
-import org.jujuberouter.platform.ListedMember;
-import org.jujuberouter.platform.PlatformException;
 import org.jujuberouter.settings.Settings;
 import org.jujuberouter.settings.SettingsDocument;
 import org.jujuberouter.settings.SettingsEditor;
 import org.jujuberouter.settings.SettingsException;
+import org.jujuberouter.store.HttpInstanceList;
+import org.jujuberouter.store.ListedMember;
+import org.jujuberouter.store.PlatformException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
--- a/src/main/java/org/jujuberouter/cli/Main.java
+++ b/src/main/java/org/jujuberouter/cli/Main.java
@@ -9,7 +9,13 @@
         name = "jujuberouter",
         mixinStandardHelpOptions = true,
         version = "jujuberouter 0.1.0",
-        subcommands = {DemoCommand.class, EntryCommand.class, ExperimentCommand.class, MeasureHopCommand.class},
+        subcommands = {
+            DemoCommand.class,
+            EntryCommand.class,
+            ExperimentCommand.class,
+            MeasureHopCommand.class,
+            ServeCommand.class
+        },
         description = "Serves prompts of a thousand to a million tokens through many endpoints.")
 public final class Main implements Callable<Integer> {
     private Main() {}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/cli/ServeCommand.java
@@ -0,0 +1,47 @@
+package org.jujuberouter.cli;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import org.jujuberouter.gateway.GatewayDaemon;
+import org.jujuberouter.gateway.GatewayOptions;
+import org.jujuberouter.platform.KvControlStore;
+import org.jujuberouter.platform.NodeFile;
+import org.jujuberouter.platform.PlatformCallForm;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs one instance on the users' platform until it is told to stop. */
+@Command(
+        name = "serve",
+        mixinStandardHelpOptions = true,
+        description = "Runs one instance on the users' platform. SIGTERM stops it gracefully.",
+        exitCodeList = {"0: stopped as told", "1: the settings cannot be read or an address cannot be bound"})
+public final class ServeCommand implements Callable<Integer> {
+    @Option(
+            names = "--node-file",
+            description = "The platform's settings file (default: $" + NodeFile.PATH_VARIABLE + ", else "
+                    + NodeFile.DEFAULT_PATH + ").")
+    private Path nodeFile;
+
+    @Option(names = "--log-level", description = "error, warning, info or debug (default info).")
+    private LogSetup.LogLevel logLevel = LogSetup.LogLevel.INFO;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        LogSetup.install(logLevel);
+        Path file = nodeFile != null
+                ? nodeFile
+                : Path.of(System.getenv().getOrDefault(NodeFile.PATH_VARIABLE, NodeFile.DEFAULT_PATH));
+        GatewayOptions options;
+        try {
+            options = NodeFile.read(file);
+        } catch (IOException e) {
+            System.err.println("cannot read the settings: " + e.getMessage());
+            return 1;
+        }
+        GatewayDaemon daemon = GatewayDaemon.start(options, PlatformCallForm.create(), KvControlStore::at);
+        StandinCommand.awaitStop(daemon);
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/control/StoreFeed.java
@@ -0,0 +1,146 @@
+package org.jujuberouter.control;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jujuberouter.misc.Ticker;
+
+/**
+ * Follows the store with one watch.
+ *
+ * <p>The state is read once and then followed by its changes. Each answered watch proves that nothing else had changed when
+ * it was sent, which is what the bound on withdrawn API keys rests on. Pages of a read are no snapshot, so the watch goes on
+ * from the revision of the first page and changes that are already known are skipped by their revision.
+ */
+public final class StoreFeed {
+    /** Longest wait of one watch; an API key is withdrawn after 5 s at most, and two lost watches must fit into that. */
+    private static final long WATCH_WAIT_MS = 1_200;
+
+    private static final long RETRY_FIRST_MS = 50;
+    private static final long RETRY_LAST_MS = 400;
+
+    /** Time after which a store that was away has the registrations of living endpoints again (the users' letter). */
+    private static final long RETURN_GRACE_MS = 1_900;
+
+    private final ControlStore store;
+    private final EventLoop loop;
+    private final Ticker ticker;
+    private final FeedListener listener;
+    private final Map<String, ControlEvent.Written> known = new HashMap<>();
+    private long revision;
+    private long retryMs = RETRY_FIRST_MS;
+    private boolean inContact;
+    private long returnedAt;
+    private boolean wasAway;
+
+    private StoreFeed(ControlStore store, EventLoop loop, Ticker ticker, FeedListener listener) {
+        this.store = store;
+        this.loop = loop;
+        this.ticker = ticker;
+        this.listener = listener;
+    }
+
+    /** Returns a feed that has not started. */
+    public static StoreFeed of(ControlStore store, EventLoop loop, Ticker ticker, FeedListener listener) {
+        return new StoreFeed(store, loop, ticker, listener);
+    }
+
+    /** Reads the state and follows it from then on. */
+    public void start() {
+        readAll();
+    }
+
+    /** Returns the store's revision that this instance has followed up to. */
+    public long revision() {
+        return revision;
+    }
+
+    private void readAll() {
+        long sent = ticker.nanos();
+        store.read(reply -> {
+            switch (reply) {
+                case ControlReply.Known state -> {
+                    contact(sent);
+                    replaceBy(state);
+                    watch();
+                }
+                case ControlReply.HistoryLost _ -> retry("the history is gone", this::readAll);
+                case ControlReply.Failed failed -> retry(failed.reason(), this::readAll);
+            }
+        });
+    }
+
+    private void watch() {
+        long sent = ticker.nanos();
+        store.watch(revision, WATCH_WAIT_MS, reply -> {
+            switch (reply) {
+                case ControlReply.Known changes -> {
+                    contact(sent);
+                    changes.events().forEach(this::apply);
+                    revision = Math.max(revision, changes.revision());
+                    watch();
+                }
+                case ControlReply.HistoryLost _ -> readAll();
+                case ControlReply.Failed failed -> retry(failed.reason(), this::watch);
+            }
+        });
+    }
+
+    private void contact(long sent) {
+        if (!inContact) {
+            returnedAt = ticker.nanos();
+        }
+        inContact = true;
+        retryMs = RETRY_FIRST_MS;
+        listener.onContact(sent);
+    }
+
+    private void retry(String reason, Runnable next) {
+        if (inContact) {
+            wasAway = true;
+        }
+        inContact = false;
+        listener.onContactLost(reason);
+        loop.schedule(next, retryMs, TimeUnit.MILLISECONDS);
+        retryMs = Math.min(RETRY_LAST_MS, retryMs * 2);
+    }
+
+    private void replaceBy(ControlReply.Known state) {
+        Set<String> present = new HashSet<>();
+        for (ControlEvent e : state.events()) {
+            present.add(e.key());
+            apply(e);
+        }
+        for (String key : Set.copyOf(known.keySet())) {
+            if (!present.contains(key)) {
+                remove(key);
+            }
+        }
+        revision = state.revision();
+    }
+
+    private void apply(ControlEvent event) {
+        ControlEvent.Written last = known.get(event.key());
+        if (last != null && event.revision() <= last.revision()) {
+            return;
+        }
+        switch (event) {
+            case ControlEvent.Written written -> {
+                known.put(written.key(), written);
+                listener.onFact(written.key(), written.fact());
+            }
+            case ControlEvent.Removed removed -> remove(removed.key());
+        }
+    }
+
+    private void remove(String key) {
+        ControlEvent.Written last = known.remove(key);
+        if (last != null) {
+            boolean justBack = wasAway && ticker.nanos() - returnedAt < TimeUnit.MILLISECONDS.toNanos(RETURN_GRACE_MS);
+            listener.onRemoved(key, last.fact(), !justBack);
+        }
+    }
+}
--- a/src/main/java/org/jujuberouter/demo/DemoSettings.java
+++ b/src/main/java/org/jujuberouter/demo/DemoSettings.java
@@ -10,10 +10,10 @@
 import java.util.HexFormat;
 import java.util.List;
 import org.jujuberouter.misc.Ticker;
-import org.jujuberouter.platform.HttpPlatformStore;
 import org.jujuberouter.settings.SettingsChange;
 import org.jujuberouter.settings.SettingsEditor;
 import org.jujuberouter.settings.SettingsResult;
+import org.jujuberouter.store.HttpPlatformStore;
 
 /** The settings of the demo's site: an assistant, a ledger, three failure domains and one customer. */
 final class DemoSettings {
--- a/src/main/java/org/jujuberouter/demo/DemoSite.java
+++ b/src/main/java/org/jujuberouter/demo/DemoSite.java
@@ -9,13 +9,13 @@
 import org.jujuberouter.entry.EntryOptions;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
-import org.jujuberouter.platform.ListedMember;
 import org.jujuberouter.standin.EngineServer;
 import org.jujuberouter.standin.ListServer;
 import org.jujuberouter.standin.PlainServer;
 import org.jujuberouter.standin.StoreServer;
 import org.jujuberouter.standin.model.EngineSettings;
 import org.jujuberouter.standin.model.LoadedModel;
+import org.jujuberouter.store.ListedMember;
 
 /** A small site in one process: store, list, engines and a ledger in three failure domains, and instances. */
 final class DemoSite implements AutoCloseable {
--- /dev/null
+++ b/src/main/java/org/jujuberouter/dispatch/EndpointLoad.java
@@ -0,0 +1,110 @@
+package org.jujuberouter.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jujuberouter.catalog.EngineModel;
+import org.jujuberouter.id.RequestId;
+
+/**
+ * The work at one endpoint, of this instance and of its peers.
+ *
+ * <p>Prompts are read one after the other, so the time left to read is the sum of the times less what has passed since the
+ * endpoint began to read without a pause.
+ */
+public final class EndpointLoad {
+    private static final double NANOS_PER_MS = 1e6;
+
+    private final List<Item> items = new ArrayList<>();
+    private long readingSince;
+
+    private static final class Item {
+        private final Work work;
+        private boolean reading;
+
+        private Item(Work work) {
+            this.work = work;
+            this.reading = work.readMs() > 0;
+        }
+    }
+
+    void add(Work work, long now) {
+        if (readLeftMs(now) <= 0) {
+            items.forEach(i -> i.reading = false);
+            readingSince = now;
+        }
+        items.add(new Item(work));
+    }
+
+    void readDone(RequestId id, long now) {
+        double left = readLeftMs(now);
+        for (Item i : items) {
+            if (i.work.id().equals(id)) {
+                i.reading = false;
+            }
+        }
+        double rest = readTotalMs();
+        // What is left cannot be more than before; the work that was read counts as done.
+        readingSince = now - (long) (Math.max(0, rest - Math.min(left, rest)) * NANOS_PER_MS);
+    }
+
+    boolean remove(RequestId id, long now) {
+        readDone(id, now);
+        return items.removeIf(i -> i.work.id().equals(id));
+    }
+
+    /** Returns the time that the prompts already there still need to be read, in milliseconds. */
+    public double readLeftMs(long now) {
+        return Math.max(0, readTotalMs() - (now - readingSince) / NANOS_PER_MS);
+    }
+
+    /** Returns the calls that hold a slot. */
+    public int slotsUsed() {
+        int n = 0;
+        for (Item i : items) {
+            if (i.work.holdsSlot()) {
+                n++;
+            }
+        }
+        return n;
+    }
+
+    /** Returns the parts that are read for other endpoints. */
+    public int helping() {
+        return items.size() - slotsUsed();
+    }
+
+    /** Returns the tokens of memory in use. */
+    public long memoryTokens() {
+        long sum = 0;
+        for (Item i : items) {
+            sum += i.work.memoryTokens();
+        }
+        return sum;
+    }
+
+    /** Returns the time of a pass with the given additional reading, in milliseconds. */
+    public double passMs(EngineModel engine, double additionalReadMs, long now) {
+        return engine.writePassMs(slotsUsed() + 1, memoryTokens()) + readLeftMs(now) + additionalReadMs;
+    }
+
+    /** Returns the weight of the streams that a pass of the given length would make late. */
+    public double lateWeight(double passMs, double usablePart) {
+        double sum = 0;
+        for (Item i : items) {
+            if (i.work.gapMs() > 0 && i.work.holdsSlot() && passMs > i.work.gapMs() * usablePart) {
+                sum += i.work.weight();
+            }
+        }
+        return sum;
+    }
+
+    private double readTotalMs() {
+        double sum = 0;
+        for (Item i : items) {
+            if (i.reading) {
+                sum += i.work.readMs();
+            }
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/dispatch/EndpointState.java
@@ -0,0 +1,110 @@
+package org.jujuberouter.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import org.jujuberouter.catalog.Endpoint;
+
+/**
+ * What this instance believes of one endpoint.
+ *
+ * <p>An endpoint that fails is avoided for a time that doubles with each further failure, so that one that is gone without
+ * notice costs few calls, and is tried again by real calls.
+ */
+public final class EndpointState {
+    private static final long AVOID_FIRST_MS = 300;
+    private static final long AVOID_LAST_MS = 4_000;
+    private static final double FAILURE_SHARE_WEIGHT = 0.2;
+    private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final EndpointLoad load = new EndpointLoad();
+    private final Deque<Long> coldStarts = new ArrayDeque<>();
+    private Endpoint endpoint;
+    private long coldUntil;
+    private long goneAt = Long.MAX_VALUE;
+    private long avoidUntil = Long.MIN_VALUE;
+    private int failuresInRow;
+    private double failureShare;
+
+    EndpointState(Endpoint endpoint, long now) {
+        this.endpoint = endpoint;
+        update(endpoint, now);
+    }
+
+    void update(Endpoint newer, long now) {
+        endpoint = newer;
+        goneAt = Long.MAX_VALUE;
+        coldUntil = now + TimeUnit.MILLISECONDS.toNanos(newer.coldMs());
+    }
+
+    void goneFrom(long at) {
+        goneAt = at;
+    }
+
+    /** Returns the endpoint as it registered itself. */
+    public Endpoint endpoint() {
+        return endpoint;
+    }
+
+    /** Returns the work that is there. */
+    public EndpointLoad load() {
+        return load;
+    }
+
+    /** Tells whether new work may go there, apart from how much it already has. */
+    public boolean isUsable(long now) {
+        return !endpoint.draining() && now < goneAt;
+    }
+
+    /** Tells whether recent failures speak against it. */
+    public boolean isAvoided(long now) {
+        return now < avoidUntil;
+    }
+
+    /** Returns the recent share of failed calls, 0 to 1. */
+    public double failureShare() {
+        return failureShare;
+    }
+
+    /** Tells whether a cold endpoint has had all calls that it bears in this second. */
+    boolean isColdAndBusy(double perSecond, long now) {
+        if (now >= coldUntil || perSecond <= 0) {
+            return false;
+        }
+        while (!coldStarts.isEmpty() && now - coldStarts.peekFirst() > SECOND_NANOS) {
+            coldStarts.pollFirst();
+        }
+        return coldStarts.size() >= perSecond;
+    }
+
+    void started(long now) {
+        if (now < coldUntil) {
+            coldStarts.addLast(now);
+        }
+    }
+
+    /** Notes that the endpoint said how long it stays cold. */
+    public void coldFor(long millis, long now) {
+        coldUntil = Math.max(coldUntil, now + TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+
+    /** Notes a call that the endpoint answered as it should. */
+    public void succeeded() {
+        failuresInRow = 0;
+        avoidUntil = Long.MIN_VALUE;
+        failureShare *= 1 - FAILURE_SHARE_WEIGHT;
+    }
+
+    /** Notes a call that the endpoint failed. */
+    public void failed(long now) {
+        long avoidMs = Math.min(AVOID_LAST_MS, AVOID_FIRST_MS << Math.min(failuresInRow, 4));
+        failuresInRow++;
+        failureShare += (1 - failureShare) * FAILURE_SHARE_WEIGHT;
+        avoidUntil = now + TimeUnit.MILLISECONDS.toNanos(avoidMs);
+    }
+
+    /** Notes that the endpoint had no room for a call. */
+    public void full(long now) {
+        avoidUntil = Math.max(avoidUntil, now + TimeUnit.MILLISECONDS.toNanos(AVOID_FIRST_MS / 4));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/dispatch/Placer.java
@@ -0,0 +1,205 @@
+package org.jujuberouter.dispatch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.jujuberouter.catalog.EngineModel;
+import org.jujuberouter.catalog.ServiceSpec;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.misc.Ticker;
+
+/**
+ * Chooses the endpoint of a call, and the helpers that read parts of a long prompt.
+ *
+ * <p>An engine reads prompts between the tokens of its streams, so a long prompt lengthens the pauses of every stream
+ * beside it. Each candidate is therefore judged by what would be late: the streams already there whose pause would grow
+ * beyond their bound, and the call itself. Among candidates without loss, short prompts take the first in the common
+ * order, long ones the last. A prompt that one engine reads too slowly is divided into the fewest even parts that make it
+ * early enough; a call waits a part of its objective for a place without loss and then takes the least loss.
+ */
+public final class Placer {
+    /** Part of a stream's pause that may be planned; the rest covers what the model does not see. */
+    private static final double USABLE_GAP = 0.8;
+
+    /** Part of the objective at which a placement counts as early enough. */
+    private static final double EARLY_ENOUGH = 0.6;
+
+    /** Part of the objective that a call waits for a place without loss. */
+    private static final double PATIENCE = 0.3;
+
+    /** Reading time up to which a prompt counts as short, in milliseconds. */
+    private static final double SHORT_READ_MS = 140;
+
+    /** Part of an engine's memory that may be planned; the newest call is preempted when it runs out. */
+    private static final double USABLE_MEMORY = 0.94;
+
+    /** The numbers of parts that are tried; an engine takes at most 16 helpers. */
+    private static final int[] PARTS = {1, 2, 3, 4, 6, 8, 11, 14, 17};
+
+    /** Time after which a call without any usable endpoint may come back, in milliseconds. */
+    private static final long NO_ENDPOINT_RETRY_MS = 1_000;
+
+    private final Fleet fleet;
+    private final Ticker ticker;
+
+    private Placer(Fleet fleet, Ticker ticker) {
+        this.fleet = fleet;
+        this.ticker = ticker;
+    }
+
+    /** Returns a placer on the fleet. */
+    public static Placer on(Fleet fleet, Ticker ticker) {
+        return new Placer(fleet, ticker);
+    }
+
+    private record Option(List<EndpointState> parts, double loss, double firstMs) {}
+
+    /**
+     * Decides on a call.
+     *
+     * @param demand what it needs
+     * @param service the service as declared
+     * @param tried endpoints that it was sent to before
+     * @param waitedMs how long it has waited, in milliseconds
+     */
+    public Placement place(Demand demand, ServiceSpec service, Set<EndpointId> tried, double waitedMs) {
+        long now = ticker.nanos();
+        List<EndpointState> usable = fleet.usable(demand.service()).stream()
+                .filter(e -> !tried.contains(e.endpoint().id()))
+                .toList();
+        if (usable.isEmpty()) {
+            return new Placement.Refuse("no usable endpoint of " + demand.service(), NO_ENDPOINT_RETRY_MS);
+        }
+        List<EndpointState> open = usable.stream()
+                .filter(e -> !e.isAvoided(now) && !e.isColdAndBusy(service.coldPerSecond(), now))
+                .toList();
+        return service.engine().isPresent() && demand.promptTokens() > 0
+                ? placePrompt(demand, service.engine().get(), open, waitedMs, now)
+                : placePlain(demand, open, now);
+    }
+
+    private Placement placePlain(Demand demand, List<EndpointState> open, long now) {
+        Optional<EndpointState> best = open.stream()
+                .filter(e -> e.load().slotsUsed() < e.endpoint().slots())
+                .min(Comparator.comparingDouble(e -> (e.load().slotsUsed() + 1)
+                        / (double) e.endpoint().slots()
+                        / Math.pow(1.01 - e.failureShare(), 3)));
+        if (best.isEmpty()) {
+            return new Placement.Wait();
+        }
+        EndpointState e = best.get();
+        Work work = new Work(demand.id(), e.endpoint().id(), true, 0, 0, 0, demand.weight());
+        return new Placement.Send(e, List.of(), List.of(work), 0);
+    }
+
+    private Placement placePrompt(
+            Demand demand, EngineModel engine, List<EndpointState> open, double waitedMs, long now) {
+        Option best = null;
+        for (int parts : PARTS) {
+            Option option = option(demand, engine, open, parts, now);
+            if (option == null) {
+                continue;
+            }
+            if (best == null
+                    || option.loss < best.loss - 1e-9
+                    || option.loss < best.loss + 1e-9 && option.firstMs < best.firstMs * 0.8) {
+                best = option;
+            }
+            if (option.loss == 0 && option.firstMs <= demand.objectiveMs() * EARLY_ENOUGH) {
+                break;
+            }
+        }
+        boolean impatient = waitedMs > demand.objectiveMs() * PATIENCE;
+        if (best == null || best.loss > 0 && !impatient) {
+            return new Placement.Wait();
+        }
+        return send(demand, engine, best);
+    }
+
+    /** Returns the best way to read the prompt in the given number of parts, or null where there is none. */
+    private Option option(Demand demand, EngineModel engine, List<EndpointState> open, int parts, long now) {
+        double readMs = engine.readMs(demand.promptTokens()) / parts;
+        long memory = demand.promptTokens() + demand.outputTokens();
+        long perEngine = (long) (engine.memoryTokens() * USABLE_MEMORY);
+        boolean divided = memory > perEngine;
+        if (divided && (memory + parts - 1) / parts > perEngine) {
+            return null;
+        }
+        boolean shortPrompt = engine.readMs(demand.promptTokens()) <= SHORT_READ_MS;
+        List<Rated> rated = new ArrayList<>();
+        for (int i = 0; i < open.size(); i++) {
+            EndpointState e = open.get(i);
+            EndpointLoad load = e.load();
+            long needed = divided ? memory / parts + 1 : parts == 1 ? memory : 0;
+            if (load.memoryTokens() + needed > perEngine
+                    || load.helping() >= e.endpoint().slots()) {
+                continue;
+            }
+            double pass = load.passMs(engine, readMs, now);
+            double wait = load.slotsUsed() > 0 ? pass : load.readLeftMs(now) + readMs;
+            boolean slot = load.slotsUsed() < e.endpoint().slots();
+            int place = shortPrompt ? i : open.size() - i;
+            rated.add(new Rated(e, load.lateWeight(pass, USABLE_GAP), wait, load.readLeftMs(now), slot, place));
+        }
+        rated.sort(Comparator.comparingDouble(Rated::loss)
+                .thenComparingDouble(r -> shortPrompt ? 0 : r.readLeftMs)
+                .thenComparingInt(Rated::place));
+        return choose(demand, rated, parts, memory, divided ? perEngine : 0, perEngine);
+    }
+
+    private record Rated(
+            EndpointState state, double loss, double firstMs, double readLeftMs, boolean slot, int place) {}
+
+    private static Option choose(
+            Demand demand, List<Rated> rated, int parts, long memory, long dividedOver, long perEngine) {
+        int first = -1;
+        for (int i = 0; i < rated.size() && first < 0; i++) {
+            EndpointLoad load = rated.get(i).state.load();
+            if (rated.get(i).slot && (dividedOver > 0 || load.memoryTokens() + memory <= perEngine)) {
+                first = i;
+            }
+        }
+        if (first < 0 || rated.size() < parts) {
+            return null;
+        }
+        List<EndpointState> chosen = new ArrayList<>();
+        chosen.add(rated.get(first).state);
+        double loss = rated.get(first).loss;
+        double firstMs = rated.get(first).firstMs;
+        for (int i = 0; i < rated.size() && chosen.size() < parts; i++) {
+            if (i != first) {
+                chosen.add(rated.get(i).state);
+                loss += rated.get(i).loss;
+                firstMs = Math.max(firstMs, rated.get(i).firstMs);
+            }
+        }
+        if (firstMs > demand.objectiveMs() * 0.9) {
+            loss += demand.weight();
+        }
+        return new Option(chosen, loss, firstMs);
+    }
+
+    private static Placement send(Demand demand, EngineModel engine, Option option) {
+        int parts = option.parts.size();
+        long memory = demand.promptTokens() + demand.outputTokens();
+        boolean divided = memory > engine.memoryTokens() * USABLE_MEMORY;
+        double readMs = engine.readMs(demand.promptTokens()) / parts;
+        List<Work> works = new ArrayList<>();
+        for (int i = 0; i < parts; i++) {
+            boolean first = i == 0;
+            long held = divided ? memory / parts + 1 : first ? memory : 0;
+            works.add(new Work(
+                    demand.id(),
+                    option.parts.get(i).endpoint().id(),
+                    first,
+                    readMs,
+                    held,
+                    first ? demand.gapMs() : 0,
+                    demand.weight()));
+        }
+        return new Placement.Send(
+                option.parts.getFirst(), option.parts.subList(1, parts), works, divided ? memory / parts + 1 : 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/dispatch/Work.java
@@ -0,0 +1,24 @@
+package org.jujuberouter.dispatch;
+
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.RequestId;
+
+/**
+ * What one call occupies at one endpoint.
+ *
+ * @param id the call
+ * @param endpoint the endpoint
+ * @param holdsSlot whether it takes a slot; reading a part for another endpoint takes none
+ * @param readMs time to read its part of the prompt, in milliseconds
+ * @param memoryTokens tokens that it holds in the endpoint's memory
+ * @param gapMs longest pause that its stream bears, in milliseconds; 0 where it does not stream
+ * @param weight what it loses when it is late
+ */
+public record Work(
+        RequestId id,
+        EndpointId endpoint,
+        boolean holdsSlot,
+        double readMs,
+        long memoryTokens,
+        long gapMs,
+        double weight) {}
--- a/src/main/java/org/jujuberouter/entry/Convictions.java
+++ b/src/main/java/org/jujuberouter/entry/Convictions.java
@@ -5,10 +5,10 @@
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.List;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.PlatformStore;
-import org.jujuberouter.platform.StoreEntry;
 import org.jujuberouter.quarantine.Conviction;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.PlatformStore;
+import org.jujuberouter.store.StoreEntry;
 
 /** Keeps convictions in the store, so that instances that start later know them. */
 final class Convictions {
--- a/src/main/java/org/jujuberouter/entry/EndpointMonitor.java
+++ b/src/main/java/org/jujuberouter/entry/EndpointMonitor.java
@@ -19,7 +19,7 @@
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.RequestId;
 import org.jujuberouter.misc.Ticker;
-import org.jujuberouter.platform.ListedMember;
+import org.jujuberouter.store.ListedMember;
 
 /**
  * Asks the endpoints that this instance owns for their load and their requests.
--- a/src/main/java/org/jujuberouter/entry/Fleet.java
+++ b/src/main/java/org/jujuberouter/entry/Fleet.java
@@ -14,13 +14,13 @@
 import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.misc.Ticker;
 import org.jujuberouter.peer.PeerMessage;
-import org.jujuberouter.platform.ListedMember;
 import org.jujuberouter.routing.EndpointCondition;
 import org.jujuberouter.routing.EndpointSpec;
 import org.jujuberouter.routing.Placement;
 import org.jujuberouter.routing.ReportedLoad;
 import org.jujuberouter.routing.Router;
 import org.jujuberouter.settings.Settings;
+import org.jujuberouter.store.ListedMember;
 
 /**
  * What this instance knows of all endpoints, kept in step with the router.
--- a/src/main/java/org/jujuberouter/entry/InstanceRuntime.java
+++ b/src/main/java/org/jujuberouter/entry/InstanceRuntime.java
@@ -43,12 +43,6 @@
 import org.jujuberouter.peer.PeerException;
 import org.jujuberouter.peer.PeerMessage;
 import org.jujuberouter.peer.PeerNetwork;
-import org.jujuberouter.platform.HttpInstanceList;
-import org.jujuberouter.platform.HttpPlatformStore;
-import org.jujuberouter.platform.InstanceList;
-import org.jujuberouter.platform.ListedMember;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.PlatformStore;
 import org.jujuberouter.quarantine.CrashEvidence;
 import org.jujuberouter.quarantine.CrashNotice;
 import org.jujuberouter.routing.Router;
@@ -57,6 +51,12 @@
 import org.jujuberouter.settings.Settings;
 import org.jujuberouter.settings.SettingsCache;
 import org.jujuberouter.settings.SettingsWatch;
+import org.jujuberouter.store.HttpInstanceList;
+import org.jujuberouter.store.HttpPlatformStore;
+import org.jujuberouter.store.InstanceList;
+import org.jujuberouter.store.ListedMember;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.PlatformStore;
 
 /**
  * The decision parts of one instance and what feeds them: store, list, peers and endpoints.
--- /dev/null
+++ b/src/main/java/org/jujuberouter/gateway/CallerConnection.java
@@ -0,0 +1,272 @@
+package org.jujuberouter.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import org.jujuberouter.catalog.CallerLimits;
+
+/**
+ * One connection of a caller: reads requests whole, one at a time, and writes their answers.
+ *
+ * <p>It reads on while a call runs, so that a caller who leaves is noticed at once. An answer that broke off ends with the
+ * connection, never with the end mark of a whole one.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+    private static final int MAX_PIPELINED_PARTS = 64;
+    private static final FullHttpResponse CONTINUE =
+            new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER);
+
+    private final Gateway gateway;
+    private final Deque<HttpObject> pipelined = new ArrayDeque<>();
+    private ChannelHandlerContext context;
+    private HttpRequest head;
+    private CompositeByteBuf body;
+    private Exchange exchange;
+    private boolean keepAlive = true;
+    private boolean discarding;
+    private ScheduledFuture<?> timer;
+
+    CallerConnection(Gateway gateway) {
+        this.gateway = gateway;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        context = ctx;
+        gateway.opened(this);
+        awaitRequest();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        stopTimer();
+        releaseRequest();
+        pipelined.forEach(ReferenceCountUtil::release);
+        pipelined.clear();
+        gateway.closed(this);
+        if (exchange != null) {
+            Exchange left = exchange;
+            exchange = null;
+            left.callerLeft();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        if (exchange != null) {
+            exchange.callerReads(ctx.channel().isWritable());
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!(cause instanceof java.io.IOException)) {
+            gateway.log().fault("caller connection", cause);
+        }
+        ctx.close();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        HttpObject part = (HttpObject) message;
+        if (exchange != null) {
+            pipelined.add(part);
+            if (pipelined.size() > MAX_PIPELINED_PARTS) {
+                ctx.channel().config().setAutoRead(false);
+            }
+            return;
+        }
+        take(part);
+    }
+
+    private void take(HttpObject part) {
+        try {
+            if (discarding) {
+                return;
+            }
+            if (part.decoderResult().isFailure()) {
+                refuseMalformed(part.decoderResult().cause());
+                return;
+            }
+            if (part instanceof HttpRequest request) {
+                begin(request);
+            }
+            if (part instanceof HttpContent content && head != null) {
+                append(content);
+            }
+        } finally {
+            ReferenceCountUtil.release(part);
+        }
+    }
+
+    private void begin(HttpRequest request) {
+        CallerLimits limits = gateway.limits();
+        head = request;
+        body = Unpooled.compositeBuffer(1024);
+        keepAlive = HttpUtil.isKeepAlive(request);
+        startTimer(limits.headerTimeoutMs() * 2, () -> end(408, "the body did not arrive in time"));
+        if (HttpUtil.isContentLengthSet(request) && request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+            end(400, "both Content-Length and Transfer-Encoding");
+        } else if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+            end(413, "the body is larger than " + limits.maxBodyBytes() + " bytes");
+        } else if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(CONTINUE.retainedDuplicate());
+        }
+    }
+
+    private void append(HttpContent content) {
+        if (content.content().isReadable()) {
+            if (body.readableBytes() + content.content().readableBytes()
+                    > gateway.limits().maxBodyBytes()) {
+                end(413, "the body is larger than " + gateway.limits().maxBodyBytes() + " bytes");
+                return;
+            }
+            body.addComponent(true, content.content().retain());
+            startTimer(gateway.limits().headerTimeoutMs() * 2, () -> end(408, "the body did not arrive in time"));
+        }
+        if (content instanceof LastHttpContent) {
+            stopTimer();
+            HttpRequest request = head;
+            ByteBuf whole = body;
+            head = null;
+            body = null;
+            exchange = gateway.exchange(this, request, whole);
+            exchange.start();
+        }
+    }
+
+    private void refuseMalformed(Throwable cause) {
+        boolean tooLarge = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        end(tooLarge ? 431 : 400, String.valueOf(cause.getMessage()));
+    }
+
+    /** Answers a request that does not become a call, and closes the connection since its rest is not read. */
+    private void end(int status, String reason) {
+        discarding = true;
+        gateway.log().rejected(status, reason);
+        FullHttpResponse response = gateway.refusal(status, reason, java.util.Optional.empty(), -1);
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        releaseRequest();
+        stopTimer();
+        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    /** Writes a whole answer. */
+    void answer(FullHttpResponse response) {
+        boolean close = mustClose();
+        setConnection(response, close);
+        context.writeAndFlush(response).addListener(f -> finished(close));
+    }
+
+    /** Writes the head of an answer whose pieces follow. */
+    void beginAnswer(HttpResponse response) {
+        setConnection(response, mustClose());
+        keepAlive = keepAlive
+                && !response.headers().containsValue(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE, true);
+        context.writeAndFlush(response);
+    }
+
+    /** Writes a piece of an answer and takes over the buffer; returns whether the caller keeps up. */
+    boolean piece(ByteBuf bytes) {
+        context.writeAndFlush(new DefaultHttpContent(bytes));
+        return context.channel().isWritable();
+    }
+
+    /** Ends an answer that is whole. */
+    void endAnswer() {
+        boolean close = mustClose();
+        context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(f -> finished(close));
+    }
+
+    /** Ends an answer that is not whole. */
+    void abort() {
+        exchange = null;
+        context.close();
+    }
+
+    boolean isIdle() {
+        return exchange == null && head == null;
+    }
+
+    void close() {
+        if (context != null) {
+            context.close();
+        }
+    }
+
+    private boolean mustClose() {
+        return !keepAlive || gateway.isStopping();
+    }
+
+    private static void setConnection(HttpResponse response, boolean close) {
+        if (close) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        } else {
+            response.headers().remove(HttpHeaderNames.CONNECTION);
+        }
+    }
+
+    private void finished(boolean close) {
+        exchange = null;
+        if (close) {
+            context.close();
+            return;
+        }
+        awaitRequest();
+        context.channel().config().setAutoRead(true);
+        while (exchange == null && !pipelined.isEmpty()) {
+            take(pipelined.poll());
+        }
+    }
+
+    private void awaitRequest() {
+        startTimer(gateway.idleTimeoutMs(), () -> {
+            if (isIdle()) {
+                context.close();
+            }
+        });
+    }
+
+    private void startTimer(long millis, Runnable action) {
+        stopTimer();
+        timer = context.executor().schedule(action, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void stopTimer() {
+        if (timer != null) {
+            timer.cancel(false);
+            timer = null;
+        }
+    }
+
+    private void releaseRequest() {
+        head = null;
+        if (body != null) {
+            body.release();
+            body = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/gateway/EventSplitter.java
@@ -0,0 +1,98 @@
+package org.jujuberouter.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Divides the bytes of an event stream (text/event-stream) into whole events.
+ *
+ * <p>An engine may stop in the middle of an event. Only whole events go on to the caller, so that another engine can
+ * continue after the last of them; the part of an event that was left is dropped then.
+ */
+final class EventSplitter {
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+
+    private ByteBuf rest = Unpooled.buffer(256);
+    private String lastId;
+
+    private EventSplitter(String lastId) {
+        this.lastId = lastId;
+    }
+
+    /** Returns a splitter for a stream that goes on after the given event id; empty at the start. */
+    static EventSplitter after(String lastId) {
+        return new EventSplitter(lastId);
+    }
+
+    /** Returns the id of the last whole event. */
+    String lastId() {
+        return lastId;
+    }
+
+    /** Takes bytes and returns all events that are whole by now, or an empty buffer. */
+    ByteBuf feed(ByteBuf bytes) {
+        rest.writeBytes(bytes);
+        int end = endOfLastEvent();
+        if (end < 0) {
+            return Unpooled.EMPTY_BUFFER;
+        }
+        ByteBuf whole = rest.readBytes(end - rest.readerIndex());
+        rest.discardReadBytes();
+        noteIds(whole);
+        return whole;
+    }
+
+    /** Returns what is left at the end of a complete stream. */
+    ByteBuf drain() {
+        ByteBuf left = rest;
+        rest = Unpooled.buffer(0);
+        return left;
+    }
+
+    /** Drops a part of an event, when another engine goes on after the last whole one. */
+    void dropPart() {
+        rest.clear();
+    }
+
+    /** Returns the index after the last blank line, or -1; lines end with LF or CR LF. */
+    private int endOfLastEvent() {
+        for (int i = rest.writerIndex() - 1; i > rest.readerIndex(); i--) {
+            if (rest.getByte(i) == '\n') {
+                int before = rest.getByte(i - 1) == '\r' ? i - 2 : i - 1;
+                if (before >= rest.readerIndex() && rest.getByte(before) == '\n') {
+                    return i + 1;
+                }
+            }
+        }
+        return -1;
+    }
+
+    private void noteIds(ByteBuf whole) {
+        int start = whole.readerIndex();
+        while (start < whole.writerIndex()) {
+            int end = whole.indexOf(start, whole.writerIndex(), (byte) '\n');
+            if (end < 0) {
+                return;
+            }
+            if (startsWithId(whole, start, end)) {
+                int from = start + ID_FIELD.length;
+                lastId =
+                        whole.toString(from, end - from, StandardCharsets.UTF_8).strip();
+            }
+            start = end + 1;
+        }
+    }
+
+    private static boolean startsWithId(ByteBuf buffer, int start, int end) {
+        if (end - start < ID_FIELD.length) {
+            return false;
+        }
+        for (int i = 0; i < ID_FIELD.length; i++) {
+            if (buffer.getByte(start + i) != ID_FIELD[i]) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -0,0 +1,501 @@
+package org.jujuberouter.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jujuberouter.catalog.Call;
+import org.jujuberouter.catalog.Catalog;
+import org.jujuberouter.catalog.Customer;
+import org.jujuberouter.catalog.Route;
+import org.jujuberouter.catalog.ServiceSpec;
+import org.jujuberouter.dispatch.Demand;
+import org.jujuberouter.dispatch.EndpointState;
+import org.jujuberouter.dispatch.Placement;
+import org.jujuberouter.http.CallFailure;
+import org.jujuberouter.http.CallListener;
+import org.jujuberouter.http.ClientCall;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.ServiceName;
+
+/**
+ * The way of one call: check, place, send, relay, finish.
+ *
+ * <p>A call goes to another endpoint only if the former one did not get it, said that it did not run it, or the call may be
+ * repeated. A refusal with 503 says that the call did not run and will not run; once it may have run, it ends with 502 or
+ * 504 instead.
+ */
+final class Exchange {
+    /** Part of the time left after which a call that waits for a place is refused. */
+    private static final double LONGEST_WAIT = 0.4;
+
+    /** Largest answer that is kept back until it is whole, in bytes; a longer one is passed on as it arrives. */
+    private static final int MAX_HELD_BYTES = 256 << 10;
+
+    private static final int CONNECT_TIMEOUT_MS = 400;
+    private static final long RETRY_AFTER_MS = 500;
+
+    /** Time that the way to the caller takes, by which an answer is ready before the deadline. */
+    private static final long RETURN_MS = 5;
+
+    private final Gateway gateway;
+    private final CallerConnection caller;
+    private final HttpRequest head;
+    private final ByteBuf body;
+    private final long arrived;
+    private final Set<EndpointId> tried = new HashSet<>();
+    private Call call;
+    private Route route;
+    private Optional<Customer> customer = Optional.empty();
+    private ServiceSpec service;
+    private Demand demand;
+    private long deadline;
+    private ScheduledFuture<?> deadlineTimer;
+    private boolean over;
+    private boolean mayHaveRun;
+    private int arrivals;
+    private Attempt attempt;
+    private boolean begun;
+    private EventSplitter events;
+    private ByteBuf held;
+    private HttpResponse heldHead;
+    private boolean firstEventSeen;
+
+    Exchange(Gateway gateway, CallerConnection caller, HttpRequest head, ByteBuf body) {
+        this.gateway = gateway;
+        this.caller = caller;
+        this.head = head;
+        this.body = body;
+        this.arrived = gateway.ticker().nanos();
+    }
+
+    void start() {
+        try {
+            call = gateway.form().read(head);
+        } catch (BadCallException e) {
+            gateway.log().rejected(400, e.getMessage());
+            refuse(400, e.getMessage(), -1);
+            return;
+        }
+        Optional<Catalog> catalog = gateway.catalog();
+        if (catalog.isEmpty() || !gateway.contact().isCurrent()) {
+            refuse(503, "the configuration is not known to be current", RETRY_AFTER_MS);
+            return;
+        }
+        if (!admit(catalog.get())) {
+            return;
+        }
+        long waitMs = Math.min(call.deadlineMs().orElse(Long.MAX_VALUE) - RETURN_MS, route.timeoutMs());
+        if (waitMs <= 0) {
+            refuse(503, "the deadline has passed", -1);
+            return;
+        }
+        deadline = arrived + TimeUnit.MILLISECONDS.toNanos(waitMs);
+        deadlineTimer = gateway.loop().schedule(this::expire, waitMs, TimeUnit.MILLISECONDS);
+        demand = new Demand(
+                call.id(),
+                service.name(),
+                call.promptTokens(),
+                call.outputTokens(),
+                route.objectiveMs(),
+                route.gapMs());
+        gateway.retries(service.name()).request();
+        place();
+    }
+
+    /** Checks the call against the configuration. */
+    private boolean admit(Catalog catalog) {
+        Optional<Route> found = catalog.route(call.host(), call.path());
+        if (found.isEmpty()) {
+            refuse(404, "no route for " + call.host() + call.path(), -1);
+            return false;
+        }
+        route = found.get();
+        if (catalog.requiresKeys() && !route.open()) {
+            customer = catalog.customer(call.apiKey());
+            if (customer.isEmpty()) {
+                refuse(401, "the API key is unknown", -1);
+                return false;
+            }
+        }
+        ServiceName name = route.serviceFor(call.id().hashCode());
+        Optional<ServiceSpec> spec = catalog.service(name);
+        if (spec.isEmpty()) {
+            refuse(503, "the service " + name + " is not declared", RETRY_AFTER_MS);
+            return false;
+        }
+        service = spec.get();
+        return true;
+    }
+
+    /** Looks for a place; called again whenever something has changed while the call waits. */
+    void place() {
+        if (over || attempt != null) {
+            return;
+        }
+        if (!gateway.contact().isCurrent()) {
+            refuseUnplaced("the configuration is not known to be current", RETRY_AFTER_MS);
+            return;
+        }
+        double waitedMs = (gateway.ticker().nanos() - arrived) / 1e6;
+        switch (gateway.placer().place(demand, service, tried, waitedMs)) {
+            case Placement.Send send -> send(send);
+            case Placement.Wait _ -> {
+                if (gateway.ticker().nanos() - arrived > (deadline - arrived) * LONGEST_WAIT) {
+                    refuseUnplaced("no place in time", RETRY_AFTER_MS);
+                } else {
+                    gateway.waitForPlace(this);
+                }
+            }
+            case Placement.Refuse refuse -> refuseUnplaced(refuse.reason(), refuse.retryAfterMs());
+        }
+    }
+
+    private void send(Placement.Send place) {
+        EndpointState at = place.endpoint();
+        gateway.start(place.works());
+        tried.add(at.endpoint().id());
+        attempt = new Attempt(at);
+        long leftMs = Math.max(
+                1, TimeUnit.NANOSECONDS.toMillis(deadline - gateway.ticker().nanos()));
+        List<CallForm.Helper> helpers = place.helpers().stream()
+                .map(h -> new CallForm.Helper(h.endpoint(), ""))
+                .toList();
+        String after = events == null ? "" : events.lastId();
+        gateway.log()
+                .call(
+                        "sent",
+                        call,
+                        Map.entry("endpoint", at.endpoint().id()),
+                        Map.entry("helpers", helpers.size()),
+                        Map.entry("attempt", tried.size()),
+                        Map.entry("waited_ms", (gateway.ticker().nanos() - arrived) / 1_000_000));
+        attempt.call = ClientCall.send(
+                gateway.loop(),
+                at.endpoint().address(),
+                CONNECT_TIMEOUT_MS,
+                gateway.form()
+                        .write(
+                                head,
+                                body,
+                                new CallForm.Attempt(
+                                        at.endpoint(), customer.map(Customer::id), leftMs, after, helpers)),
+                attempt);
+    }
+
+    private final class Attempt implements CallListener {
+        private final EndpointState at;
+        private ClientCall call;
+
+        private Attempt(EndpointState at) {
+            this.at = at;
+        }
+
+        @Override
+        public boolean onHead(HttpResponse response) {
+            return this == attempt && receive(response);
+        }
+
+        @Override
+        public void onBody(ByteBuf piece) {
+            if (this == attempt) {
+                relay(piece);
+            }
+        }
+
+        @Override
+        public void onEnd() {
+            if (this == attempt) {
+                complete();
+            }
+        }
+
+        @Override
+        public void onFailure(CallFailure failure) {
+            if (this == attempt) {
+                failed(failure);
+            }
+        }
+    }
+
+    /** Takes the head of an answer and decides whether it is passed on, held back or replaced by another attempt. */
+    private boolean receive(HttpResponse response) {
+        CallForm.Answer answer = gateway.form().read(response);
+        if (!answer.id().isEmpty() && !answer.id().equals(call.id().value())) {
+            gateway.log().call("skipped an answer to another call", call, Map.entry("other", answer.id()));
+            return false;
+        }
+        answer.coldMs().ifPresent(ms -> attempt.at.coldFor(ms, gateway.ticker().nanos()));
+        if (answer.notRun()) {
+            notRun(answer);
+            return false;
+        }
+        arrivals++;
+        mayHaveRun = true;
+        boolean success = answer.status() / 100 == 2;
+        if (success && !answer.vouched()) {
+            failAttempt("an answer without the endpoint's signature");
+            return false;
+        }
+        if (answer.status() >= 500) {
+            attempt.at.failed(gateway.ticker().nanos());
+            if (route.repeat().isRepeatable() && !begun && tryAgain("status " + answer.status())) {
+                return false;
+            }
+        }
+        if (begun) {
+            if (!success) {
+                failAttempt("status " + answer.status() + " where the stream was to go on");
+            }
+            return success;
+        }
+        heldHead = copyHead(response);
+        if (success && route.repeat().isStream()) {
+            events = EventSplitter.after(call.resumeAfter());
+            begin();
+        } else {
+            held = Unpooled.buffer(1024);
+        }
+        return true;
+    }
+
+    private void notRun(CallForm.Answer answer) {
+        if (answer.misdirected()) {
+            attempt.at.failed(gateway.ticker().nanos());
+        } else {
+            attempt.at.full(gateway.ticker().nanos());
+        }
+        gateway.log()
+                .call(
+                        "not run",
+                        call,
+                        Map.entry("endpoint", attempt.at.endpoint().id()),
+                        Map.entry("status", answer.status()));
+        boolean again = tried.size() < route.maxAttempts() + 1 && gateway.tryRetry(service.name());
+        endAttempt();
+        if (!again) {
+            refuseUnplaced("the endpoint had no room", RETRY_AFTER_MS);
+        } else {
+            place();
+        }
+    }
+
+    private void relay(ByteBuf piece) {
+        if (begun && events != null) {
+            ByteBuf whole = events.feed(piece);
+            if (whole.isReadable()) {
+                if (!firstEventSeen) {
+                    firstEventSeen = true;
+                    gateway.readDone(call.id());
+                }
+                if (!caller.piece(whole)) {
+                    attempt.call.setReading(false);
+                }
+            }
+        } else if (begun) {
+            if (!caller.piece(piece.copy())) {
+                attempt.call.setReading(false);
+            }
+        } else {
+            held.writeBytes(piece);
+            if (held.readableBytes() > MAX_HELD_BYTES) {
+                begin();
+                caller.piece(held);
+                held = null;
+            }
+        }
+    }
+
+    private void begin() {
+        begun = true;
+        HttpUtil.setTransferEncodingChunked(heldHead, true);
+        caller.beginAnswer(heldHead);
+    }
+
+    private void complete() {
+        attempt.at.succeeded();
+        gateway.log()
+                .call(
+                        "answered",
+                        call,
+                        Map.entry("endpoint", attempt.at.endpoint().id()),
+                        Map.entry("status", heldHead.status().code()),
+                        Map.entry("ms", (gateway.ticker().nanos() - arrived) / 1_000_000));
+        endAttempt();
+        finish();
+        if (!begun) {
+            DefaultFullHttpResponse whole = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, heldHead.status(), held);
+            whole.headers().set(heldHead.headers());
+            HttpUtil.setContentLength(whole, held.readableBytes());
+            caller.answer(whole);
+            return;
+        }
+        if (events != null) {
+            ByteBuf left = events.drain();
+            if (left.isReadable()) {
+                caller.piece(left);
+            }
+        }
+        caller.endAnswer();
+    }
+
+    private void failed(CallFailure failure) {
+        gateway.log()
+                .call(
+                        "attempt failed",
+                        call,
+                        Map.entry("endpoint", attempt.at.endpoint().id()),
+                        Map.entry("kind", failure.kind()),
+                        Map.entry("sent", failure.sent()),
+                        Map.entry("detail", failure.detail()));
+        if (failure.sent()) {
+            arrivals++;
+            mayHaveRun = true;
+        }
+        failAttempt(failure.detail());
+    }
+
+    /** Ends an attempt that the endpoint failed, and goes on elsewhere where that is allowed. */
+    private void failAttempt(String reason) {
+        attempt.at.failed(gateway.ticker().nanos());
+        boolean allowed = !mayHaveRun || route.repeat().isRepeatable();
+        if (allowed && tryAgain(reason)) {
+            return;
+        }
+        endAttempt();
+        if (begun) {
+            finish();
+            caller.abort();
+        } else if (mayHaveRun) {
+            end(502, reason, -1);
+        } else {
+            refuseUnplaced(reason, RETRY_AFTER_MS);
+        }
+    }
+
+    private boolean tryAgain(String reason) {
+        boolean free = !mayHaveRun || arrivals < route.maxAttempts() && gateway.tryRetry(service.name());
+        if (!free || tried.size() > route.maxAttempts() + 2) {
+            return false;
+        }
+        gateway.log().call("tries another endpoint", call, Map.entry("reason", reason));
+        endAttempt();
+        if (events != null) {
+            events.dropPart();
+        }
+        held = null;
+        place();
+        return true;
+    }
+
+    /** The caller's connection has room again, or has none. */
+    void callerReads(boolean reads) {
+        if (attempt != null) {
+            attempt.call.setReading(reads);
+        }
+    }
+
+    /** The caller closed its connection. */
+    void callerLeft() {
+        if (!over) {
+            gateway.log().call("caller left", call == null ? Gateway.NO_CALL : call);
+            endAttempt();
+            finish();
+        }
+    }
+
+    private void expire() {
+        if (over) {
+            return;
+        }
+        gateway.log().call("deadline reached", call, Map.entry("begun", begun), Map.entry("arrivals", arrivals));
+        boolean sent = attempt != null;
+        endAttempt();
+        if (begun) {
+            finish();
+            caller.abort();
+        } else if (sent || mayHaveRun) {
+            end(504, "the deadline passed", -1);
+        } else {
+            refuse(503, "the deadline passed before an endpoint had room", -1);
+        }
+    }
+
+    private void refuseUnplaced(String reason, long retryAfterMs) {
+        if (begun) {
+            finish();
+            caller.abort();
+        } else if (mayHaveRun) {
+            end(502, reason, -1);
+        } else {
+            refuse(503, reason, retryAfterMs);
+        }
+    }
+
+    private void refuse(int status, String reason, long retryAfterMs) {
+        end(status, reason, retryAfterMs);
+    }
+
+    private void end(int status, String reason, long retryAfterMs) {
+        if (call != null) {
+            gateway.log()
+                    .call(
+                            "refused",
+                            call,
+                            Map.entry("status", status),
+                            Map.entry("reason", reason),
+                            Map.entry(
+                                    "catalog",
+                                    gateway.catalog().map(Catalog::version).orElse(0L)),
+                            Map.entry("contact_age_ms", gateway.contact().ageMs()),
+                            Map.entry("ms", (gateway.ticker().nanos() - arrived) / 1_000_000));
+        }
+        finish();
+        caller.answer(gateway.refusal(status, reason, Optional.ofNullable(call).map(Call::id), retryAfterMs));
+    }
+
+    private void endAttempt() {
+        if (attempt != null) {
+            Attempt ended = attempt;
+            attempt = null;
+            if (ended.call != null) {
+                ended.call.cancel();
+            }
+            gateway.end(call.id());
+        }
+    }
+
+    private void finish() {
+        if (!over) {
+            over = true;
+            body.release();
+            if (deadlineTimer != null) {
+                deadlineTimer.cancel(false);
+            }
+            gateway.finished(this);
+        }
+    }
+
+    /** Returns the head without what concerns the endpoint's connection only. */
+    private static HttpResponse copyHead(HttpResponse response) {
+        HttpResponse copy = new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status());
+        copy.headers().set(response.headers());
+        copy.headers().remove(HttpHeaderNames.CONNECTION);
+        copy.headers().remove("Keep-Alive");
+        copy.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
+        copy.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+        return copy;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -0,0 +1,294 @@
+package org.jujuberouter.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jujuberouter.catalog.Call;
+import org.jujuberouter.catalog.CallerLimits;
+import org.jujuberouter.catalog.Catalog;
+import org.jujuberouter.control.ControlFact;
+import org.jujuberouter.control.FeedListener;
+import org.jujuberouter.dispatch.Fleet;
+import org.jujuberouter.dispatch.Placer;
+import org.jujuberouter.dispatch.RetryAllowance;
+import org.jujuberouter.dispatch.StoreContact;
+import org.jujuberouter.dispatch.Work;
+import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.id.RequestId;
+import org.jujuberouter.id.ServiceName;
+import org.jujuberouter.misc.Ticker;
+
+/** What one instance knows, and the calls that it serves; used on its event loop only. */
+final class Gateway implements FeedListener {
+    /** Stands for a call whose head was not read, in log lines. */
+    static final Call NO_CALL = new Call(RequestId.of("-"), "", "", "", OptionalLong.empty(), 0, 0, "");
+
+    /** Pause between two looks for a place, which bounds how late a change that nobody tells is noticed. */
+    private static final long LOOK_AGAIN_MS = 10;
+
+    /** Time after which a registration that lapsed while the store was away is taken as gone (the users' letter). */
+    private static final long LAPSED_GRACE_MS = 1_900;
+
+    private final GatewayOptions options;
+    private final EventLoop loop;
+    private final CallForm form;
+    private final Ticker ticker = Ticker.system();
+    private final GatewayLog log;
+    private final StoreContact contact;
+    private final Fleet fleet = Fleet.empty(ticker);
+    private final Placer placer = Placer.on(fleet, ticker);
+    private final Map<ServiceName, RetryAllowance> retries = new HashMap<>();
+    private final Set<CallerConnection> connections = new HashSet<>();
+    private final Set<Exchange> running = new HashSet<>();
+    private final Set<Exchange> waiting = new LinkedHashSet<>();
+    private final Set<InstanceId> peers = new HashSet<>();
+    private Optional<Catalog> catalog = Optional.empty();
+    private long previousIdleTimeoutMs;
+    private boolean lookPlanned;
+    private boolean stopping;
+    private boolean inContact;
+
+    Gateway(GatewayOptions options, EventLoop loop, CallForm form) {
+        this.options = options;
+        this.loop = loop;
+        this.form = form;
+        this.log = GatewayLog.of(options.instance().value());
+        this.contact = StoreContact.of(
+                ticker,
+                () -> TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis()),
+                options.bounds().withdrawalMs());
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    Ticker ticker() {
+        return ticker;
+    }
+
+    CallForm form() {
+        return form;
+    }
+
+    GatewayLog log() {
+        return log;
+    }
+
+    StoreContact contact() {
+        return contact;
+    }
+
+    Placer placer() {
+        return placer;
+    }
+
+    Optional<Catalog> catalog() {
+        return catalog;
+    }
+
+    CallerLimits limits() {
+        return catalog.map(Catalog::limits).orElse(CallerLimits.initial());
+    }
+
+    /** Returns the idle timeout, which a newer configuration shortens only for connections opened after it. */
+    long idleTimeoutMs() {
+        return Math.max(previousIdleTimeoutMs, limits().idleTimeoutMs());
+    }
+
+    boolean isStopping() {
+        return stopping;
+    }
+
+    /** Tells whether the platform should send new connections here. */
+    boolean isReady() {
+        return !stopping && catalog.isPresent() && contact.isCurrent();
+    }
+
+    int runningCalls() {
+        return running.size();
+    }
+
+    /** Takes no more new work from the platform; what callers still send on open connections is served. */
+    void stop() {
+        stopping = true;
+        log.belief("stopping", Map.entry("running", running.size()), Map.entry("connections", connections.size()));
+    }
+
+    void closeIdleConnections() {
+        for (CallerConnection c : new ArrayList<>(connections)) {
+            if (c.isIdle()) {
+                c.close();
+            }
+        }
+    }
+
+    void opened(CallerConnection connection) {
+        connections.add(connection);
+    }
+
+    void closed(CallerConnection connection) {
+        connections.remove(connection);
+    }
+
+    Exchange exchange(CallerConnection caller, HttpRequest head, ByteBuf body) {
+        Exchange made = new Exchange(this, caller, head, body);
+        running.add(made);
+        return made;
+    }
+
+    void finished(Exchange exchange) {
+        running.remove(exchange);
+        waiting.remove(exchange);
+    }
+
+    RetryAllowance retries(ServiceName service) {
+        return retries.computeIfAbsent(
+                service,
+                _ -> RetryAllowance.of(
+                        ticker,
+                        options.bounds().retryWindowMs(),
+                        options.bounds().retryRatio(),
+                        options.bounds().retrySlack()));
+    }
+
+    boolean tryRetry(ServiceName service) {
+        return retries(service).tryRetry(Math.max(1, peers.size()));
+    }
+
+    void start(List<Work> works) {
+        fleet.start(works);
+    }
+
+    void readDone(RequestId id) {
+        fleet.readDone(id);
+        somethingChanged();
+    }
+
+    void end(RequestId id) {
+        fleet.end(id);
+        somethingChanged();
+    }
+
+    void waitForPlace(Exchange exchange) {
+        waiting.add(exchange);
+        planLook(LOOK_AGAIN_MS);
+    }
+
+    private void somethingChanged() {
+        if (!waiting.isEmpty()) {
+            planLook(0);
+        }
+    }
+
+    private void planLook(long delayMs) {
+        if (!lookPlanned) {
+            lookPlanned = true;
+            loop.schedule(this::lookAgain, delayMs, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void lookAgain() {
+        lookPlanned = false;
+        List<Exchange> all = new ArrayList<>(waiting);
+        waiting.clear();
+        all.forEach(Exchange::place);
+    }
+
+    FullHttpResponse refusal(int status, String reason, Optional<RequestId> id, long retryAfterMs) {
+        byte[] text = (reason + "\n").getBytes(StandardCharsets.UTF_8);
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(text));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length);
+        form.writeRefusal(
+                response.headers(), id, retryAfterMs < 0 ? OptionalLong.empty() : OptionalLong.of(retryAfterMs));
+        return response;
+    }
+
+    @Override
+    public void onFact(String key, ControlFact fact) {
+        switch (fact) {
+            case ControlFact.Configuration c -> configure(c.catalog());
+            case ControlFact.Registration r -> {
+                fleet.put(r.endpoint());
+                log.belief(
+                        "endpoint registered",
+                        Map.entry("endpoint", r.endpoint().id()),
+                        Map.entry("draining", r.endpoint().draining()),
+                        Map.entry("cold_ms", r.endpoint().coldMs()));
+                somethingChanged();
+            }
+            case ControlFact.Evacuation e -> {
+                fleet.setEvacuated(e.domain(), true);
+                log.belief("domain taken out", Map.entry("domain", e.domain()));
+            }
+            case ControlFact.Peer p -> peers.add(p.instance());
+            case ControlFact.Unreadable u ->
+                log.belief("unreadable entry", Map.entry("key", key), Map.entry("reason", u.reason()));
+        }
+    }
+
+    private void configure(Catalog newer) {
+        if (catalog.isPresent() && newer.version() < catalog.get().version()) {
+            log.belief("older configuration ignored", Map.entry("version", newer.version()));
+            return;
+        }
+        previousIdleTimeoutMs = limits().idleTimeoutMs();
+        catalog = Optional.of(newer);
+        log.belief("configuration in force", Map.entry("version", newer.version()));
+        somethingChanged();
+    }
+
+    @Override
+    public void onRemoved(String key, ControlFact fact, boolean seenLive) {
+        switch (fact) {
+            case ControlFact.Registration r -> {
+                fleet.remove(r.endpoint().id(), seenLive ? 0 : LAPSED_GRACE_MS);
+                log.belief("endpoint gone", Map.entry("endpoint", r.endpoint().id()), Map.entry("seen_live", seenLive));
+            }
+            case ControlFact.Evacuation e -> {
+                fleet.setEvacuated(e.domain(), false);
+                log.belief("domain taken back", Map.entry("domain", e.domain()));
+                somethingChanged();
+            }
+            case ControlFact.Peer p -> peers.remove(p.instance());
+            case ControlFact.Configuration _ -> log.belief("configuration removed; the last one stays in force");
+            case ControlFact.Unreadable _ -> log.belief("unreadable entry gone", Map.entry("key", key));
+        }
+    }
+
+    @Override
+    public void onContact(long sentNanos) {
+        contact.proved(sentNanos);
+        if (!inContact) {
+            inContact = true;
+            log.belief("store reached");
+        }
+    }
+
+    @Override
+    public void onContactLost(String reason) {
+        if (inContact) {
+            inContact = false;
+            log.belief("store lost", Map.entry("reason", reason));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -0,0 +1,161 @@
+package org.jujuberouter.gateway;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+import org.jujuberouter.control.ControlStore;
+import org.jujuberouter.control.StoreFeed;
+
+/** One instance on the users' platform, from its start to its graceful stop. */
+public final class GatewayDaemon implements AutoCloseable {
+    private static final int BACKLOG = 1_024;
+    private static final int MAX_LINE_BYTES = 8_192;
+    private static final int MAX_CHUNK_BYTES = 16_384;
+    private static final long LEASE_MS = 6_000;
+    private static final long RENEW_MS = 2_000;
+    private static final long ANNOUNCE_RETRY_MS = 500;
+
+    /** Time in which the platform takes a stopping instance out of rotation: two questions, a second apart, and one. */
+    private static final long OUT_OF_ROTATION_MS = 2_600;
+
+    /** Time before the kill by which a stopping instance ends by itself. */
+    private static final long EXIT_MARGIN_MS = 700;
+
+    private static final long STOP_CHECK_MS = 50;
+
+    private final GatewayOptions options;
+    private final MultiThreadIoEventLoopGroup group;
+    private final EventLoop loop;
+    private final Gateway gateway;
+    private final ControlStore store;
+
+    private GatewayDaemon(
+            GatewayOptions options, CallForm form, BiFunction<EventLoop, InetSocketAddress, ControlStore> connector) {
+        this.options = options;
+        this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        this.loop = group.next();
+        this.gateway = new Gateway(options, loop, form);
+        this.store = connector.apply(loop, options.store());
+    }
+
+    /** Starts an instance; the connector makes the client of the store. */
+    public static GatewayDaemon start(
+            GatewayOptions options, CallForm form, BiFunction<EventLoop, InetSocketAddress, ControlStore> connector)
+            throws IOException {
+        GatewayDaemon daemon = new GatewayDaemon(options, form, connector);
+        StoreFeed feed = StoreFeed.of(daemon.store, daemon.loop, daemon.gateway.ticker(), daemon.gateway);
+        daemon.loop.execute(() -> {
+            feed.start();
+            daemon.announce();
+        });
+        daemon.listen(
+                options.readiness(),
+                ch -> ch.pipeline()
+                        .addLast(new HttpServerCodec())
+                        .addLast(new HttpObjectAggregator(MAX_CHUNK_BYTES))
+                        .addLast(new ReadinessHandler(daemon.gateway)));
+        daemon.listen(
+                options.callers(),
+                ch -> ch.pipeline()
+                        .addLast(new HttpServerCodec(
+                                MAX_LINE_BYTES, daemon.gateway.limits().maxHeaderBytes(), MAX_CHUNK_BYTES))
+                        .addLast(new CallerConnection(daemon.gateway)));
+        return daemon;
+    }
+
+    private void listen(InetSocketAddress address, Consumer<Channel> pipeline) throws IOException {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        pipeline.accept(ch);
+                    }
+                });
+        try {
+            bootstrap.bind(address).sync();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while binding " + address, e);
+        } catch (RuntimeException e) {
+            throw new IOException("cannot listen on " + address + ": " + e.getMessage(), e);
+        }
+    }
+
+    private void announce() {
+        store.announce(options.instance(), options.peers(), LEASE_MS, reason -> {
+            if (reason == null) {
+                loop.schedule(this::renew, RENEW_MS, TimeUnit.MILLISECONDS);
+            } else {
+                loop.schedule(this::announce, ANNOUNCE_RETRY_MS, TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    private void renew() {
+        if (gateway.isStopping()) {
+            return;
+        }
+        store.renew(held -> {
+            if (held) {
+                loop.schedule(this::renew, RENEW_MS, TimeUnit.MILLISECONDS);
+            } else {
+                announce();
+            }
+        });
+    }
+
+    /**
+     * Stops gracefully: readiness ends first, what callers still send is served, and the process ends when the platform has
+     * taken it out of rotation and no call runs, or shortly before it would be killed.
+     */
+    @Override
+    public void close() {
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        loop.execute(() -> {
+            gateway.stop();
+            store.withdraw(() -> {});
+            long begun = gateway.ticker().millis();
+            loop.scheduleAtFixedRate(
+                    () -> checkStop(begun, stopped), STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
+        });
+        try {
+            stopped.get(options.bounds().stopMs(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            gateway.log().fault("stop", e);
+        }
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    private void checkStop(long begun, CompletableFuture<Void> stopped) {
+        long passed = gateway.ticker().millis() - begun;
+        if (passed < OUT_OF_ROTATION_MS) {
+            return;
+        }
+        gateway.closeIdleConnections();
+        if (gateway.runningCalls() == 0 || passed > options.bounds().stopMs() - EXIT_MARGIN_MS) {
+            stopped.complete(null);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
@@ -0,0 +1,25 @@
+package org.jujuberouter.gateway;
+
+import java.net.InetSocketAddress;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.InstanceId;
+
+/**
+ * What one instance needs to know at its start.
+ *
+ * @param instance its name
+ * @param domain its failure domain
+ * @param callers where callers connect
+ * @param readiness where the platform asks whether it takes new connections
+ * @param peers where other instances connect
+ * @param store the platform's store
+ * @param bounds the bounds of the deployment
+ */
+public record GatewayOptions(
+        InstanceId instance,
+        FailureDomain domain,
+        InetSocketAddress callers,
+        InetSocketAddress readiness,
+        InetSocketAddress peers,
+        InetSocketAddress store,
+        ServingBounds bounds) {}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/http/ClientCall.java
@@ -0,0 +1,161 @@
+package org.jujuberouter.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+
+/**
+ * One request on a connection of its own.
+ *
+ * <p>The connection serves nothing before or after, so no byte of another answer can be taken for this one, and a failure
+ * to connect proves that nothing was sent. An answer without a length is whole only if the connection ended without an
+ * error.
+ */
+public final class ClientCall {
+    private static final int MAX_LINE_BYTES = 8_192;
+    private static final int MAX_HEADER_BYTES = 65_536;
+    private static final int MAX_CHUNK_BYTES = 16_384;
+
+    private final CallListener listener;
+    private Channel channel;
+    private boolean over;
+    private boolean connected;
+
+    private ClientCall(CallListener listener) {
+        this.listener = listener;
+    }
+
+    /** Opens a connection and sends the request, which is released afterwards. */
+    public static ClientCall send(
+            EventLoop loop,
+            InetSocketAddress to,
+            int connectTimeoutMs,
+            FullHttpRequest request,
+            CallListener listener) {
+        ClientCall call = new ClientCall(listener);
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline()
+                                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(call.new Handler());
+                    }
+                });
+        ChannelFuture opening = bootstrap.connect(to);
+        call.channel = opening.channel();
+        opening.addListener(f -> call.onConnect(f.isSuccess(), f.cause(), request));
+        return call;
+    }
+
+    /** Stops or resumes reading, to hold the other side back while the reader of the answer is slow. */
+    public void setReading(boolean reading) {
+        channel.config().setAutoRead(reading);
+    }
+
+    /** Ends the call at once; the other side sees a reset. The listener hears nothing more. */
+    public void cancel() {
+        if (!over) {
+            over = true;
+            closeNow();
+        }
+    }
+
+    private void onConnect(boolean success, Throwable cause, FullHttpRequest request) {
+        if (over) {
+            request.release();
+            closeNow();
+        } else if (!success) {
+            request.release();
+            fail(CallFailure.Kind.CONNECT, String.valueOf(cause.getMessage()));
+        } else {
+            connected = true;
+            channel.writeAndFlush(request).addListener(f -> {
+                if (f.isSuccess() && !over) {
+                    listener.onSent();
+                }
+            });
+        }
+    }
+
+    private void fail(CallFailure.Kind kind, String detail) {
+        if (!over) {
+            over = true;
+            closeNow();
+            listener.onFailure(new CallFailure(kind, connected, detail));
+        }
+    }
+
+    private void closeNow() {
+        if (channel.isOpen()) {
+            // Without lingering the close is a reset, which tells the other side at once to stop its work.
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            channel.close();
+        }
+    }
+
+    private final class Handler extends ChannelInboundHandlerAdapter {
+        private boolean ours;
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            try {
+                if (!over) {
+                    read((HttpObject) message);
+                }
+            } finally {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        private void read(HttpObject part) {
+            if (part.decoderResult().isFailure()) {
+                fail(
+                        CallFailure.Kind.MALFORMED,
+                        String.valueOf(part.decoderResult().cause()));
+                return;
+            }
+            if (part instanceof HttpResponse head) {
+                ours = head.status().code() >= 200 && listener.onHead(head);
+            }
+            if (!over && ours && part instanceof HttpContent content) {
+                if (content.content().isReadable()) {
+                    listener.onBody(content.content());
+                }
+                if (!over && part instanceof LastHttpContent) {
+                    over = true;
+                    closeNow();
+                    listener.onEnd();
+                }
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            fail(CallFailure.Kind.RESET, String.valueOf(cause.getMessage()));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            fail(CallFailure.Kind.CLOSED, "the connection was closed before the answer was whole");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/http/JsonClient.java
@@ -0,0 +1,214 @@
+package org.jujuberouter.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jujuberouter.misc.Json;
+
+/**
+ * Small JSON calls to one address over a kept connection, one at a time.
+ *
+ * <p>A connection on which an answer is late is closed, because what arrives on it later could be taken for the answer to
+ * the next call. A call is sent at most once; the caller decides whether to repeat it.
+ */
+public final class JsonClient {
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
+    private static final int MAX_ANSWER_BYTES = 8 << 20;
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final Deque<Pending> queue = new ArrayDeque<>();
+    private Channel channel;
+    private Pending current;
+    private ScheduledFuture<?> timer;
+
+    private JsonClient(EventLoop loop, InetSocketAddress address) {
+        this.loop = loop;
+        this.address = address;
+    }
+
+    private record Pending(String method, String path, byte[] body, long timeoutMs, Consumer<JsonReply> listener) {}
+
+    /** Returns a client whose listeners run on the loop; it connects with the first call. */
+    public static JsonClient to(EventLoop loop, InetSocketAddress address) {
+        return new JsonClient(loop, address);
+    }
+
+    /** Sends the call after those that wait; the timeout runs from the moment it is sent. */
+    public void call(String method, String path, byte[] body, long timeoutMs, Consumer<JsonReply> listener) {
+        queue.add(new Pending(method, path, body, timeoutMs, listener));
+        sendNext();
+    }
+
+    /** Closes the connection; a call that waits for its answer gets none. */
+    public void close() {
+        queue.clear();
+        finish(new JsonReply.Silence(address, "closed by this instance"));
+        dropConnection();
+    }
+
+    private void sendNext() {
+        if (current != null || queue.isEmpty()) {
+            return;
+        }
+        Pending next = queue.poll();
+        current = next;
+        timer = loop.schedule(() -> expire(next), next.timeoutMs, TimeUnit.MILLISECONDS);
+        if (channel != null && channel.isActive()) {
+            write(next);
+        } else {
+            connect(next);
+        }
+    }
+
+    private void expire(Pending call) {
+        if (current == call) {
+            dropConnection();
+            finish(new JsonReply.Silence(address, "no answer within " + call.timeoutMs + " ms"));
+        }
+    }
+
+    private void connect(Pending call) {
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline()
+                                .addLast(new HttpClientCodec())
+                                .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
+                                .addLast(new Handler());
+                    }
+                });
+        bootstrap.connect(address).addListener((io.netty.channel.ChannelFutureListener) f -> {
+            if (current != call) {
+                f.channel().close();
+            } else if (f.isSuccess()) {
+                channel = f.channel();
+                write(call);
+            } else {
+                finish(new JsonReply.Silence(address, String.valueOf(f.cause().getMessage())));
+            }
+        });
+    }
+
+    private void write(Pending call) {
+        DefaultFullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                HttpMethod.valueOf(call.method),
+                call.path,
+                call.body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(call.body));
+        request.headers().set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
+        if (call.body != null) {
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body.length);
+        }
+        channel.writeAndFlush(request);
+    }
+
+    private void finish(JsonReply reply) {
+        Pending done = current;
+        current = null;
+        if (done != null) {
+            timer.cancel(false);
+            done.listener.accept(reply);
+            sendNext();
+        }
+    }
+
+    private void dropConnection() {
+        Channel open = channel;
+        channel = null;
+        if (open != null) {
+            open.close();
+        }
+    }
+
+    private final class Handler extends SimpleChannelInboundHandler<FullHttpResponse> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            if (ctx.channel() != channel || current == null) {
+                ctx.close();
+                return;
+            }
+            if (response.decoderResult().isFailure()) {
+                dropConnection();
+                finish(new JsonReply.Silence(
+                        address, "malformed answer: " + response.decoderResult().cause()));
+                return;
+            }
+            if (!HttpUtil.isKeepAlive(response)) {
+                dropConnection();
+            }
+            finish(decode(response));
+        }
+
+        private JsonReply decode(FullHttpResponse response) {
+            if (!response.content().isReadable()) {
+                return new JsonReply.Answer(response.status().code(), MissingNode.getInstance());
+            }
+            try (InputStream in = new ByteBufInputStream(response.content())) {
+                JsonNode body = Json.MAPPER.readTree(in);
+                return new JsonReply.Answer(response.status().code(), body);
+            } catch (IOException e) {
+                if (response.status().code() == 200) {
+                    return new JsonReply.Silence(address, "malformed body: " + e.getMessage());
+                }
+                // The text of an error is for people; its status says all that decides.
+                return new JsonReply.Answer(response.status().code(), MissingNode.getInstance());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            lost(ctx, String.valueOf(cause.getMessage()));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            lost(ctx, "the connection was closed");
+        }
+
+        private void lost(ChannelHandlerContext ctx, String reason) {
+            ctx.close();
+            if (ctx.channel() == channel) {
+                channel = null;
+                finish(new JsonReply.Silence(address, reason));
+            }
+        }
+    }
+
+    /** Returns the text as the bytes of a body. */
+    public static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+}
--- a/src/main/java/org/jujuberouter/orders/LoadRate.java
+++ b/src/main/java/org/jujuberouter/orders/LoadRate.java
@@ -4,11 +4,11 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
-import org.jujuberouter.platform.LeaseId;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.PlatformStore;
-import org.jujuberouter.platform.StoreEntry;
-import org.jujuberouter.platform.WriteOutcome;
+import org.jujuberouter.store.LeaseId;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.PlatformStore;
+import org.jujuberouter.store.StoreEntry;
+import org.jujuberouter.store.WriteOutcome;
 
 /**
  * Bounds the loads started within a minute over all instances.
--- a/src/main/java/org/jujuberouter/orders/Loads.java
+++ b/src/main/java/org/jujuberouter/orders/Loads.java
@@ -8,9 +8,9 @@
 import java.util.TreeMap;
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.misc.Json;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.PlatformStore;
-import org.jujuberouter.platform.StoreEntry;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.PlatformStore;
+import org.jujuberouter.store.StoreEntry;
 
 /**
  * The loads under way over all instances: the value of the store key {@code orders/loads}.
--- a/src/main/java/org/jujuberouter/orders/OrderDesk.java
+++ b/src/main/java/org/jujuberouter/orders/OrderDesk.java
@@ -13,9 +13,9 @@
 import java.util.Set;
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.misc.Ticker;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.PlatformStore;
-import org.jujuberouter.platform.WriteOutcome;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.PlatformStore;
+import org.jujuberouter.store.WriteOutcome;
 
 /**
  * Gives the orders for the engines that this instance owns.
--- a/src/main/java/org/jujuberouter/orders/Plan.java
+++ b/src/main/java/org/jujuberouter/orders/Plan.java
@@ -8,8 +8,8 @@
 import java.util.TreeMap;
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.misc.Json;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.StoreEntry;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.StoreEntry;
 
 /**
  * The declared placement: the value of the store key {@code orders/plan}.
--- a/src/main/java/org/jujuberouter/orders/PlanKeeper.java
+++ b/src/main/java/org/jujuberouter/orders/PlanKeeper.java
@@ -10,10 +10,10 @@
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.misc.Ticker;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.PlatformStore;
-import org.jujuberouter.platform.StoreEntry;
-import org.jujuberouter.platform.WriteOutcome;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.PlatformStore;
+import org.jujuberouter.store.StoreEntry;
+import org.jujuberouter.store.WriteOutcome;
 
 /**
  * Keeps the plan that all instances follow.
--- a/src/main/java/org/jujuberouter/outcome/OnceRecords.java
+++ b/src/main/java/org/jujuberouter/outcome/OnceRecords.java
@@ -10,11 +10,11 @@
 import java.util.Set;
 import org.jujuberouter.id.RequestId;
 import org.jujuberouter.misc.Ticker;
-import org.jujuberouter.platform.LeaseId;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.PlatformStore;
-import org.jujuberouter.platform.StoreEntry;
-import org.jujuberouter.platform.WriteOutcome;
+import org.jujuberouter.store.LeaseId;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.PlatformStore;
+import org.jujuberouter.store.StoreEntry;
+import org.jujuberouter.store.WriteOutcome;
 
 /**
  * Lets each non-idempotent call run at most once, through records in the platform store.
--- a/src/main/java/org/jujuberouter/ownership/OwnerCodec.java
+++ b/src/main/java/org/jujuberouter/ownership/OwnerCodec.java
@@ -11,8 +11,8 @@
 import java.util.List;
 import org.jujuberouter.id.Incarnation;
 import org.jujuberouter.id.InstanceId;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.StoreEntry;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.StoreEntry;
 
 /** Converts owner records to JSON and back. */
 final class OwnerCodec {
--- a/src/main/java/org/jujuberouter/ownership/OwnerState.java
+++ b/src/main/java/org/jujuberouter/ownership/OwnerState.java
@@ -4,8 +4,8 @@
 import java.util.Optional;
 import org.jujuberouter.id.Incarnation;
 import org.jujuberouter.id.InstanceId;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.StoreEntry;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.StoreEntry;
 
 /** What one instance knows about the owner record of one endpoint; used by the ticking thread only. */
 final class OwnerState {
--- a/src/main/java/org/jujuberouter/ownership/Ownership.java
+++ b/src/main/java/org/jujuberouter/ownership/Ownership.java
@@ -17,10 +17,10 @@
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.misc.Rendezvous;
 import org.jujuberouter.misc.Ticker;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.PlatformStore;
-import org.jujuberouter.platform.StoreEntry;
-import org.jujuberouter.platform.WriteOutcome;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.PlatformStore;
+import org.jujuberouter.store.StoreEntry;
+import org.jujuberouter.store.WriteOutcome;
 
 /**
  * Decides for which endpoints this instance admits.
--- a/src/main/java/org/jujuberouter/ownership/Registration.java
+++ b/src/main/java/org/jujuberouter/ownership/Registration.java
@@ -10,11 +10,11 @@
 import org.jujuberouter.id.Incarnation;
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.misc.Ticker;
-import org.jujuberouter.platform.LeaseId;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.PlatformStore;
-import org.jujuberouter.platform.StoreEntry;
-import org.jujuberouter.platform.WriteOutcome;
+import org.jujuberouter.store.LeaseId;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.PlatformStore;
+import org.jujuberouter.store.StoreEntry;
+import org.jujuberouter.store.WriteOutcome;
 
 /**
  * The registration {@code instance/<id>} of one instance and the lease that keeps it.
--- /dev/null
+++ b/src/main/java/org/jujuberouter/platform/ConfigurationText.java
@@ -0,0 +1,115 @@
+package org.jujuberouter.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.jujuberouter.catalog.CallerLimits;
+import org.jujuberouter.catalog.Catalog;
+import org.jujuberouter.catalog.Customer;
+import org.jujuberouter.catalog.EngineModel;
+import org.jujuberouter.catalog.RepeatRule;
+import org.jujuberouter.catalog.Route;
+import org.jujuberouter.catalog.ServiceSpec;
+import org.jujuberouter.id.CustomerId;
+import org.jujuberouter.id.ServiceName;
+
+/** Decodes the operator's configuration. */
+final class ConfigurationText {
+    private static final long DEFAULT_TIMEOUT_MS = 30_000;
+
+    private ConfigurationText() {}
+
+    static Catalog decode(JsonNode config) {
+        List<Route> routes = new ArrayList<>();
+        config.path("Routes").forEach(r -> routes.add(route(r)));
+        List<ServiceSpec> services = new ArrayList<>();
+        config.path("Services").forEach(s -> services.add(service(s)));
+        return Catalog.of(config.path("Version").asLong(), routes, services, customers(config), limits(config));
+    }
+
+    private static Route route(JsonNode r) {
+        List<Route.WeightedService> targets = new ArrayList<>();
+        // "Service" stands for a single target, "Backends" for several with weights.
+        if (r.has("Service")) {
+            targets.add(new Route.WeightedService(ServiceName.of(KvItems.text(r, "Service")), 1));
+        } else {
+            r.path("Backends")
+                    .forEach(b -> targets.add(new Route.WeightedService(
+                            ServiceName.of(KvItems.text(b, "Service")),
+                            b.path("Weight").asDouble(1))));
+        }
+        if (targets.isEmpty()) {
+            throw new IllegalArgumentException("the route " + r.path("Name").asText() + " has no service");
+        }
+        return new Route(
+                r.path("Name").asText(),
+                KvItems.text(r, "Host"),
+                KvItems.text(r, "Prefix"),
+                repeat(KvItems.text(r, "Type"), r.path("StreamResume").asBoolean()),
+                r.path("TimeoutMs").asLong(DEFAULT_TIMEOUT_MS),
+                r.path("TargetLatencyMs").asLong(),
+                r.path("TargetGapMs").asLong(),
+                r.path("Priority").asInt(),
+                targets,
+                Math.max(1, r.path("MaxAttempts").asInt(1)),
+                r.path("Public").asBoolean());
+    }
+
+    private static RepeatRule repeat(String type, boolean resumable) {
+        return switch (type) {
+            case "idempotent" -> RepeatRule.IDEMPOTENT;
+            case "non_idempotent" -> RepeatRule.NON_IDEMPOTENT;
+            case "streaming" -> resumable ? RepeatRule.RESUMABLE_STREAM : RepeatRule.STREAM;
+            default -> throw new IllegalArgumentException("unknown Type of a route: " + type);
+        };
+    }
+
+    private static ServiceSpec service(JsonNode s) {
+        JsonNode engine = s.path("Engine");
+        return new ServiceSpec(
+                ServiceName.of(KvItems.text(s, "Name")),
+                s.path("HealthCheck").asText("/"),
+                s.path("MaxConnections").asInt(Integer.MAX_VALUE),
+                s.path("ColdPerS").asDouble(),
+                engine.isObject() ? Optional.of(engine(engine)) : Optional.empty());
+    }
+
+    private static EngineModel engine(JsonNode e) {
+        return new EngineModel(
+                e.path("Slots").asInt(1),
+                e.path("KvCapacityTokens").asLong(Long.MAX_VALUE),
+                Math.max(1, e.path("Stride").asInt(1)),
+                e.path("step_ms").asDouble(),
+                e.path("per_seq_ms").asDouble(),
+                e.path("context_per_k").asDouble(),
+                // "read_per_s" counts prompt tokens a second.
+                Math.max(0.001, e.path("read_per_s").asDouble(1_000_000) / 1_000),
+                e.path("pairs_per_m").asDouble(),
+                e.path("chunk").asLong(2_048));
+    }
+
+    private static Map<String, Customer> customers(JsonNode config) {
+        Map<String, Customer> byKey = new HashMap<>();
+        for (JsonNode t : config.path("Tenants")) {
+            OptionalInt priority =
+                    t.has("Priority") ? OptionalInt.of(t.path("Priority").asInt()) : OptionalInt.empty();
+            Customer customer = new Customer(CustomerId.of(KvItems.text(t, "Name")), priority);
+            t.path("ApiKeys").forEach(k -> byKey.put(k.asText(), customer));
+        }
+        return byKey;
+    }
+
+    private static CallerLimits limits(JsonNode config) {
+        JsonNode l = config.path("Limits");
+        CallerLimits fallback = CallerLimits.initial();
+        return new CallerLimits(
+                l.path("MaxHeaderBytes").asInt(fallback.maxHeaderBytes()),
+                l.path("MaxBodyBytes").asInt(fallback.maxBodyBytes()),
+                l.path("HeaderTimeoutMs").asLong(fallback.headerTimeoutMs()),
+                l.path("IdleTimeoutMs").asLong(fallback.idleTimeoutMs()));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/platform/KvItems.java
@@ -0,0 +1,85 @@
+package org.jujuberouter.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Base64;
+import java.util.Optional;
+import org.jujuberouter.catalog.Endpoint;
+import org.jujuberouter.control.ControlFact;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.id.ServiceName;
+import org.jujuberouter.misc.Json;
+
+/** Decodes the values of the platform's store. */
+final class KvItems {
+    private KvItems() {}
+
+    /** Returns what the value of a key says; a value that cannot be read is told as such. */
+    static ControlFact decode(String key, String base64) {
+        try {
+            if (key.startsWith(Keys.EVACUATIONS)) {
+                return new ControlFact.Evacuation(FailureDomain.of(key.substring(Keys.EVACUATIONS.length())));
+            }
+            byte[] value = Base64.getDecoder().decode(base64);
+            if (key.equals(Keys.CONFIGURATION)) {
+                return new ControlFact.Configuration(ConfigurationText.decode(Json.MAPPER.readTree(value)));
+            } else if (key.startsWith(Keys.ENDPOINTS)) {
+                String id = key.substring(Keys.ENDPOINTS.length());
+                return new ControlFact.Registration(endpoint(id, Json.MAPPER.readTree(value)));
+            } else if (key.startsWith(Keys.INSTANCES)) {
+                String id = key.substring(Keys.INSTANCES.length());
+                JsonNode peer = Json.MAPPER.readTree(value);
+                return new ControlFact.Peer(InstanceId.of(id), Addresses.parse(text(peer, "peers")));
+            }
+            return new ControlFact.Unreadable("not a key that instances follow");
+        } catch (IOException | IllegalArgumentException e) {
+            return new ControlFact.Unreadable(String.valueOf(e.getMessage()));
+        }
+    }
+
+    static byte[] encodePeer(InetSocketAddress address) {
+        ObjectNode value = Json.MAPPER.createObjectNode().put("peers", Addresses.format(address));
+        return value.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    private static Endpoint endpoint(String id, JsonNode entry) {
+        String state = text(entry, "State");
+        if (!state.equals("ready") && !state.equals("draining")) {
+            throw new IllegalArgumentException("unknown State \"" + state + "\"");
+        }
+        JsonNode slots = entry.path("Slots");
+        if (!slots.canConvertToInt() || slots.asInt() <= 0) {
+            throw new IllegalArgumentException("Slots is not a positive number");
+        }
+        return new Endpoint(
+                EndpointId.of(id),
+                ServiceName.of(text(entry, "Service")),
+                Addresses.parse(text(entry, "Address")),
+                FailureDomain.of(text(entry, "Zone")),
+                slots.asInt(),
+                state.equals("draining"),
+                number(entry, "ColdRemainingMs"),
+                number(entry, "born"));
+    }
+
+    /** Returns a whole number, or 0 where the field is left out; another type is an error. */
+    private static long number(JsonNode entry, String field) {
+        JsonNode value = entry.path(field);
+        if (!value.isMissingNode() && !value.isNumber()) {
+            throw new IllegalArgumentException(field + " is not a number");
+        }
+        return value.asLong(0);
+    }
+
+    static String text(JsonNode entry, String field) {
+        return Optional.of(entry.path(field))
+                .filter(JsonNode::isTextual)
+                .map(JsonNode::asText)
+                .filter(t -> !t.isBlank())
+                .orElseThrow(() -> new IllegalArgumentException(field + " is missing or no text"));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/platform/NodeFile.java
@@ -0,0 +1,57 @@
+package org.jujuberouter.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.jujuberouter.gateway.GatewayOptions;
+import org.jujuberouter.gateway.ServingBounds;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.misc.Json;
+
+/** The settings file that the platform gives to each process. */
+public final class NodeFile {
+    /** The environment variable with the path of the file. */
+    public static final String PATH_VARIABLE = "JUJUBEROUTER_NODE_FILE";
+
+    /** The path where the variable is not set. */
+    public static final String DEFAULT_PATH = "/etc/jujuberouter/node.json";
+
+    private NodeFile() {}
+
+    /** Reads the options of this instance; fields that are not known are ignored. */
+    public static GatewayOptions read(Path file) throws IOException {
+        JsonNode node = Json.MAPPER.readTree(Files.readAllBytes(file));
+        try {
+            JsonNode listen = node.path("Listen");
+            InetSocketAddress front = Addresses.parse(KvItems.text(listen, "Front"));
+            JsonNode ports = node.path("PortRange");
+            if (!ports.path(0).canConvertToInt()) {
+                throw new IllegalArgumentException("PortRange is not two numbers");
+            }
+            return new GatewayOptions(
+                    InstanceId.of(KvItems.text(node, "Node")),
+                    FailureDomain.of(KvItems.text(node, "Zone")),
+                    front,
+                    Addresses.parse(KvItems.text(listen, "Readiness")),
+                    new InetSocketAddress(front.getAddress(), ports.path(0).asInt()),
+                    Addresses.parse(KvItems.text(node.path("Platform"), "Address")),
+                    bounds(node.path("Bounds")));
+        } catch (IllegalArgumentException e) {
+            throw new IOException(file + ": " + e.getMessage(), e);
+        }
+    }
+
+    private static ServingBounds bounds(JsonNode b) {
+        return new ServingBounds(
+                b.path("RevokeMs").asLong(5_000),
+                Math.round(b.path("GraceS").asDouble(8) * 1_000),
+                b.path("RetryBudgetRatio").asDouble(0.1),
+                b.path("BudgetSlack").asInt(10),
+                Math.round(b.path("BudgetWindowS").asDouble(10) * 1_000),
+                b.path("stall_ms").asLong(1_500),
+                b.path("MaxHoldMs").asLong(20_000));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/platform/PlatformCallForm.java
@@ -0,0 +1,136 @@
+package org.jujuberouter.platform;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.stream.Collectors;
+import org.jujuberouter.catalog.Call;
+import org.jujuberouter.gateway.BadCallException;
+import org.jujuberouter.gateway.CallForm;
+import org.jujuberouter.id.RequestId;
+
+/** The platform's headers on calls and answers. */
+public final class PlatformCallForm implements CallForm {
+    private static final String BEARER = "Bearer ";
+    private static final int MISDIRECTED_REQUEST = 421;
+
+    /** Headers that concern one connection only (RFC 9110, section 7.6.1), besides those that Connection names. */
+    private static final List<String> CONNECTION_HEADERS = List.of(
+            "connection", "keep-alive", "proxy-connection", "transfer-encoding", "te", "trailer", "upgrade", "expect");
+
+    private PlatformCallForm() {}
+
+    /** Returns the form. */
+    public static PlatformCallForm create() {
+        return new PlatformCallForm();
+    }
+
+    @Override
+    public Call read(HttpRequest head) throws BadCallException {
+        HttpHeaders h = head.headers();
+        String id = h.get(Headers.ATTEMPT_ID, "");
+        if (id.isBlank()) {
+            throw BadCallException.of(Headers.ATTEMPT_ID + " is missing");
+        }
+        String host = h.get(HttpHeaderNames.HOST, "");
+        String[] usage = h.get(Headers.TOKEN_USAGE, "0,0").split(",");
+        if (usage.length != 2) {
+            throw BadCallException.of(Headers.TOKEN_USAGE + " is not two numbers");
+        }
+        String authorization = h.get(HttpHeaderNames.AUTHORIZATION, "");
+        String deadline = h.get(Headers.DEADLINE_MS, "");
+        int query = head.uri().indexOf('?');
+        return new Call(
+                RequestId.of(id),
+                host.contains(":") ? host.substring(0, host.indexOf(':')) : host,
+                query < 0 ? head.uri() : head.uri().substring(0, query),
+                authorization.regionMatches(true, 0, BEARER, 0, BEARER.length())
+                        ? authorization.substring(BEARER.length()).strip()
+                        : "",
+                deadline.isBlank() ? OptionalLong.empty() : OptionalLong.of(number(Headers.DEADLINE_MS, deadline)),
+                number(Headers.TOKEN_USAGE, usage[0]),
+                number(Headers.TOKEN_USAGE, usage[1]),
+                h.get(Headers.LAST_EVENT_ID, ""));
+    }
+
+    @Override
+    public FullHttpRequest write(HttpRequest head, ByteBuf body, Attempt attempt) {
+        FullHttpRequest out = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, head.method(), head.uri(), Unpooled.copiedBuffer(body));
+        HttpHeaders h = out.headers();
+        h.set(head.headers());
+        dropConnectionHeaders(h, head.headers().getAll(HttpHeaderNames.CONNECTION));
+        h.remove(HttpHeaderNames.AUTHORIZATION);
+        h.remove(Headers.CUSTOMER);
+        h.remove(Headers.HELPERS);
+        h.set(Headers.EXPECTED_ENDPOINT, attempt.endpoint().id().value());
+        h.set(Headers.DEADLINE_MS, attempt.timeLeftMs());
+        attempt.customer().ifPresent(c -> h.set(Headers.CUSTOMER, c.value()));
+        if (!attempt.resumeAfter().isEmpty()) {
+            h.set(Headers.LAST_EVENT_ID, attempt.resumeAfter());
+        }
+        if (!attempt.helpers().isEmpty()) {
+            h.set(
+                    Headers.HELPERS,
+                    attempt.helpers().stream().map(PlatformCallForm::format).collect(Collectors.joining(",")));
+        }
+        if (body.isReadable() || head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            h.set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        }
+        return out;
+    }
+
+    @Override
+    public Answer read(HttpResponse head) {
+        HttpHeaders h = head.headers();
+        int status = head.status().code();
+        String cold = h.get(Headers.COLD_MS, "");
+        return new Answer(
+                status,
+                h.get(Headers.ATTEMPT_ID, ""),
+                h.contains(Headers.SIGNATURE),
+                h.contains(Headers.NOT_EXECUTED) || status == MISDIRECTED_REQUEST,
+                status == MISDIRECTED_REQUEST,
+                cold.matches("[0-9]{1,9}") ? OptionalLong.of(Long.parseLong(cold)) : OptionalLong.empty());
+    }
+
+    @Override
+    public void writeRefusal(HttpHeaders headers, Optional<RequestId> id, OptionalLong retryAfterMs) {
+        id.ifPresent(i -> headers.set(Headers.ATTEMPT_ID, i.value()));
+        // The platform's callers read fractions of a second.
+        retryAfterMs.ifPresent(
+                ms -> headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", ms / 1000.0)));
+    }
+
+    private static String format(Helper helper) {
+        String address = Addresses.format(helper.endpoint().address());
+        return helper.reservation().isEmpty() ? address : address + "/" + helper.reservation();
+    }
+
+    private static void dropConnectionHeaders(HttpHeaders h, List<String> named) {
+        CONNECTION_HEADERS.forEach(h::remove);
+        for (String list : named) {
+            for (String name : list.split(",")) {
+                h.remove(name.strip());
+            }
+        }
+    }
+
+    private static long number(String header, String text) throws BadCallException {
+        try {
+            return Long.parseLong(text.strip());
+        } catch (NumberFormatException e) {
+            throw BadCallException.of(header + ": \"" + text + "\" is not a whole number");
+        }
+    }
+}
--- a/src/main/java/org/jujuberouter/platform/package-info.java
+++ b/src/main/java/org/jujuberouter/platform/package-info.java
@@ -1,2 +1,2 @@
-/** The platform's key-value store and instance list, behind small interfaces. */
+/** The users' platform: its names, formats and calls, translated to and from the product's types; it decides nothing. */
 package org.jujuberouter.platform;
--- a/src/main/java/org/jujuberouter/settings/SettingsEdit.java
+++ b/src/main/java/org/jujuberouter/settings/SettingsEdit.java
@@ -4,10 +4,10 @@
 import java.util.List;
 import java.util.Optional;
 import org.jujuberouter.misc.Ticker;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.PlatformStore;
-import org.jujuberouter.platform.StoreEntry;
-import org.jujuberouter.platform.WriteOutcome;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.PlatformStore;
+import org.jujuberouter.store.StoreEntry;
+import org.jujuberouter.store.WriteOutcome;
 
 /**
  * One change on its way into the store, driven step by step.
--- a/src/main/java/org/jujuberouter/settings/SettingsEditor.java
+++ b/src/main/java/org/jujuberouter/settings/SettingsEditor.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 import org.jujuberouter.misc.Ticker;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.PlatformStore;
-import org.jujuberouter.platform.StoreEntry;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.PlatformStore;
+import org.jujuberouter.store.StoreEntry;
 
 /**
  * Brings operators' changes into the store, each at most once.
--- a/src/main/java/org/jujuberouter/settings/SettingsWatch.java
+++ b/src/main/java/org/jujuberouter/settings/SettingsWatch.java
@@ -2,9 +2,9 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.PlatformStore;
-import org.jujuberouter.platform.StoreEntry;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.PlatformStore;
+import org.jujuberouter.store.StoreEntry;
 
 /**
  * Follows the document in the store; the caller repeats {@link #step} on a thread of its own.
--- a/src/main/java/org/jujuberouter/standin/ListServer.java
+++ b/src/main/java/org/jujuberouter/standin/ListServer.java
@@ -12,8 +12,8 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.jujuberouter.misc.Ticker;
-import org.jujuberouter.platform.InstanceList;
-import org.jujuberouter.platform.ListedMember;
+import org.jujuberouter.store.InstanceList;
+import org.jujuberouter.store.ListedMember;
 
 /**
  * A stand-in for the platform's list of instances and endpoints, which answers with the state of a configurable time ago.
--- a/src/main/java/org/jujuberouter/standin/StoreServer.java
+++ b/src/main/java/org/jujuberouter/standin/StoreServer.java
@@ -14,12 +14,12 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.jujuberouter.misc.Ticker;
-import org.jujuberouter.platform.HttpPlatformStore;
-import org.jujuberouter.platform.LeaseId;
-import org.jujuberouter.platform.MemoryPlatformStore;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.StoreEntry;
-import org.jujuberouter.platform.WriteOutcome;
+import org.jujuberouter.store.HttpPlatformStore;
+import org.jujuberouter.store.LeaseId;
+import org.jujuberouter.store.MemoryPlatformStore;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.StoreEntry;
+import org.jujuberouter.store.WriteOutcome;
 
 /**
  * A stand-in for the platform store that speaks its HTTP form and injects faults on demand.
--- a/src/main/java/org/jujuberouter/platform/HttpInstanceList.java
+++ b/src/main/java/org/jujuberouter/store/HttpInstanceList.java
@@ -1,4 +1,4 @@
-package org.jujuberouter.platform;
+package org.jujuberouter.store;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/src/main/java/org/jujuberouter/platform/InstanceList.java
+++ b/src/main/java/org/jujuberouter/store/InstanceList.java
@@ -1,4 +1,4 @@
-package org.jujuberouter.platform;
+package org.jujuberouter.store;
 
 import java.util.List;
 
--- a/src/main/java/org/jujuberouter/platform/PlatformException.java
+++ b/src/main/java/org/jujuberouter/store/PlatformException.java
@@ -1,4 +1,4 @@
-package org.jujuberouter.platform;
+package org.jujuberouter.store;
 
 /** The platform did not answer or answered with an error. */
 public class PlatformException extends Exception {
--- a/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
+++ b/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
@@ -40,16 +40,16 @@
     /** What each decision package may use besides itself, {@code id} and {@code misc}. */
     private static final Map<String, Set<String>> DECISIONS = Map.ofEntries(
             Map.entry("membership", Set.of()),
-            Map.entry("ownership", Set.of("platform")),
+            Map.entry("ownership", Set.of("store")),
             Map.entry("admission", Set.of()),
             Map.entry("routing", Set.of()),
             Map.entry("limits", Set.of()),
             Map.entry("memory", Set.of()),
-            Map.entry("outcome", Set.of("error", "platform")),
-            Map.entry("orders", Set.of("platform", "settings")),
+            Map.entry("outcome", Set.of("error", "store")),
+            Map.entry("orders", Set.of("store", "settings")),
             Map.entry("quarantine", Set.of()),
             Map.entry("stream", Set.of()),
-            Map.entry("settings", Set.of("platform")));
+            Map.entry("settings", Set.of("store")));
 
     private static final Set<String> PLATFORM_INTERFACE = Set.of(
             "PlatformStore",
@@ -143,7 +143,7 @@
                 .that()
                 .resideInAnyPackage(patterns(DECISIONS.keySet()))
                 .should()
-                .dependOnClassesThat(resideInAPackage(ROOT + ".platform")
+                .dependOnClassesThat(resideInAPackage(ROOT + ".store")
                         .and(describe("not part of the interface", c -> !PLATFORM_INTERFACE.contains(topLevelName(c)))))
                 .check(CLASSES);
     }
@@ -198,8 +198,8 @@
         for (String line : section.lines().filter(l -> l.startsWith("| `")).toList()) {
             String[] cells = line.split("\\|");
             Set<String> uses = new TreeSet<>(Arrays.asList(cells[3].strip().split(", ")));
-            if (uses.remove("platform interface")) {
-                uses.add("platform");
+            if (uses.remove("store interface")) {
+                uses.add("store");
             }
             for (String name : cells[1].replace("`", "").strip().split(", ")) {
                 table.put(name, uses);
--- a/src/test/java/org/jujuberouter/orders/LossyStore.java
+++ b/src/test/java/org/jujuberouter/orders/LossyStore.java
@@ -4,11 +4,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import org.jujuberouter.platform.LeaseId;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.PlatformStore;
-import org.jujuberouter.platform.StoreEntry;
-import org.jujuberouter.platform.WriteOutcome;
+import org.jujuberouter.store.LeaseId;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.PlatformStore;
+import org.jujuberouter.store.StoreEntry;
+import org.jujuberouter.store.WriteOutcome;
 
 /** A store that loses requests and replies of some writes. */
 record LossyStore(PlatformStore inner, SplittableRandom random, double losses) implements PlatformStore {
--- a/src/test/java/org/jujuberouter/orders/OrderSimulation.java
+++ b/src/test/java/org/jujuberouter/orders/OrderSimulation.java
@@ -19,7 +19,7 @@
 import org.jujuberouter.ownership.Ownership;
 import org.jujuberouter.ownership.Registration;
 import org.jujuberouter.ownership.Standing;
-import org.jujuberouter.platform.MemoryPlatformStore;
+import org.jujuberouter.store.MemoryPlatformStore;
 
 /** Three instances with the real ownership, twelve engines and two changes of the declared placement, in virtual time. */
 final class OrderSimulation {
--- a/src/test/java/org/jujuberouter/outcome/FaultyStore.java
+++ b/src/test/java/org/jujuberouter/outcome/FaultyStore.java
@@ -7,11 +7,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import org.jujuberouter.platform.LeaseId;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.PlatformStore;
-import org.jujuberouter.platform.StoreEntry;
-import org.jujuberouter.platform.WriteOutcome;
+import org.jujuberouter.store.LeaseId;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.PlatformStore;
+import org.jujuberouter.store.StoreEntry;
+import org.jujuberouter.store.WriteOutcome;
 
 /** A store that loses replies, lets writes take effect later and has outages, and that calls back around each operation. */
 final class FaultyStore {
--- a/src/test/java/org/jujuberouter/ownership/FakeStore.java
+++ b/src/test/java/org/jujuberouter/ownership/FakeStore.java
@@ -9,11 +9,11 @@
 import java.util.Random;
 import java.util.TreeMap;
 import org.jujuberouter.misc.Ticker;
-import org.jujuberouter.platform.LeaseId;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.PlatformStore;
-import org.jujuberouter.platform.StoreEntry;
-import org.jujuberouter.platform.WriteOutcome;
+import org.jujuberouter.store.LeaseId;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.PlatformStore;
+import org.jujuberouter.store.StoreEntry;
+import org.jujuberouter.store.WriteOutcome;
 
 /** A store in memory that loses replies, delays writes and has outages, all from one seed. */
 final class FakeStore implements PlatformStore {
--- a/src/test/java/org/jujuberouter/ownership/OwnerRecordTest.java
+++ b/src/test/java/org/jujuberouter/ownership/OwnerRecordTest.java
@@ -7,7 +7,7 @@
 import java.util.Random;
 import org.jujuberouter.id.Incarnation;
 import org.jujuberouter.id.InstanceId;
-import org.jujuberouter.platform.StoreEntry;
+import org.jujuberouter.store.StoreEntry;
 import org.junit.jupiter.api.Test;
 
 /** Guards against shares that add up to more than the bound. */
--- a/src/test/java/org/jujuberouter/process/Site.java
+++ b/src/test/java/org/jujuberouter/process/Site.java
@@ -24,10 +24,10 @@
 import java.util.stream.Stream;
 import org.jujuberouter.misc.Json;
 import org.jujuberouter.misc.Ticker;
-import org.jujuberouter.platform.HttpPlatformStore;
 import org.jujuberouter.settings.SettingsChange;
 import org.jujuberouter.settings.SettingsEditor;
 import org.jujuberouter.settings.SettingsResult;
+import org.jujuberouter.store.HttpPlatformStore;
 
 /**
  * A small site of separate processes on loopback: store, list, a ledger, engines and instances.
--- a/src/test/java/org/jujuberouter/process/WholePathTest.java
+++ b/src/test/java/org/jujuberouter/process/WholePathTest.java
@@ -16,10 +16,10 @@
 import java.time.Duration;
 import java.util.HexFormat;
 import org.jujuberouter.misc.Ticker;
-import org.jujuberouter.platform.HttpPlatformStore;
 import org.jujuberouter.settings.SettingsChange;
 import org.jujuberouter.settings.SettingsEditor;
 import org.jujuberouter.settings.SettingsResult;
+import org.jujuberouter.store.HttpPlatformStore;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/org/jujuberouter/settings/FaultyStore.java
+++ b/src/test/java/org/jujuberouter/settings/FaultyStore.java
@@ -3,11 +3,11 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import org.jujuberouter.platform.LeaseId;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.PlatformStore;
-import org.jujuberouter.platform.StoreEntry;
-import org.jujuberouter.platform.WriteOutcome;
+import org.jujuberouter.store.LeaseId;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.PlatformStore;
+import org.jujuberouter.store.StoreEntry;
+import org.jujuberouter.store.WriteOutcome;
 
 /** One client's way to the simulated store, which can be cut, lose replies and delay effects. */
 final class FaultyStore implements PlatformStore {
--- a/src/test/java/org/jujuberouter/settings/SettingsSimulation.java
+++ b/src/test/java/org/jujuberouter/settings/SettingsSimulation.java
@@ -17,8 +17,8 @@
 import java.util.function.Supplier;
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.misc.ManualTicker;
-import org.jujuberouter.platform.MemoryPlatformStore;
-import org.jujuberouter.platform.StoreEntry;
+import org.jujuberouter.store.MemoryPlatformStore;
+import org.jujuberouter.store.StoreEntry;
 
 /** Operators, instances and a faulty store on a virtual clock; collects every broken promise. */
 final class SettingsSimulation {
--- a/src/test/java/org/jujuberouter/settings/SettingsSimulationTest.java
+++ b/src/test/java/org/jujuberouter/settings/SettingsSimulationTest.java
@@ -10,9 +10,9 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Supplier;
-import org.jujuberouter.platform.PlatformException;
-import org.jujuberouter.platform.StoreEntry;
-import org.jujuberouter.platform.WriteOutcome;
+import org.jujuberouter.store.PlatformException;
+import org.jujuberouter.store.StoreEntry;
+import org.jujuberouter.store.WriteOutcome;
 import org.junit.jupiter.api.Test;
 
 /** Guards against accepted changes that are lost, made twice, late or taken back. */
--- a/src/test/java/org/jujuberouter/settings/SettingsTest.java
+++ b/src/test/java/org/jujuberouter/settings/SettingsTest.java
@@ -16,8 +16,8 @@
 import org.jujuberouter.id.ModelName;
 import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.misc.ManualTicker;
-import org.jujuberouter.platform.MemoryPlatformStore;
-import org.jujuberouter.platform.StoreEntry;
+import org.jujuberouter.store.MemoryPlatformStore;
+import org.jujuberouter.store.StoreEntry;
 import org.junit.jupiter.api.Test;
 
 /** Guards against wrong values in force, partial error reports and settings that revert. */
