Share placed work with all peers, so that each instance chooses on the load of all

Cause: with a local view every instance packed the same engines (arrivals at the busiest 10 times the mean).

--- a/src/main/java/org/jujuberouter/dispatch/EndpointState.java
+++ b/src/main/java/org/jujuberouter/dispatch/EndpointState.java
@@ -103,6 +103,12 @@
         avoidUntil = now + TimeUnit.MILLISECONDS.toNanos(avoidMs);
     }
 
+    /** Notes that a peer saw the endpoint fail; one such report alone says little about calls from here. */
+    public void failedElsewhere(long now) {
+        failureShare += (1 - failureShare) * FAILURE_SHARE_WEIGHT;
+        avoidUntil = Math.max(avoidUntil, now + TimeUnit.MILLISECONDS.toNanos(AVOID_FIRST_MS));
+    }
+
     /** Notes that the endpoint had no room for a call. */
     public void full(long now) {
         avoidUntil = Math.max(avoidUntil, now + TimeUnit.MILLISECONDS.toNanos(AVOID_FIRST_MS / 4));
--- a/src/main/java/org/jujuberouter/entry/PeerInbox.java
+++ b/src/main/java/org/jujuberouter/entry/PeerInbox.java
@@ -73,7 +73,8 @@
             case PeerMessage.RunEnded m -> runtime.consent.note(m);
             case PeerMessage.SettingsPull m -> push(from, m);
             case PeerMessage.SettingsPush m -> settings(from, m);
-            case PeerMessage.Hello _, PeerMessage.Reply _ -> {
+            // Only instances on the users' platform share these.
+            case PeerMessage.ShareNotice _, PeerMessage.Hello _, PeerMessage.Reply _ -> {
                 // The connection handles these; a reply that comes here was too late.
             }
         }
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -165,11 +165,11 @@
 
     private void send(Placement.Send place) {
         EndpointState at = place.endpoint();
-        gateway.start(place.works());
-        tried.add(at.endpoint().id());
-        attempt = new Attempt(at);
         long leftMs = Math.max(
                 1, TimeUnit.NANOSECONDS.toMillis(deadline - gateway.ticker().nanos()));
+        gateway.start(place.works(), leftMs);
+        tried.add(at.endpoint().id());
+        attempt = new Attempt(at);
         List<CallForm.Helper> helpers = place.helpers().stream()
                 .map(h -> new CallForm.Helper(h.endpoint(), ""))
                 .toList();
@@ -250,7 +250,7 @@
             return false;
         }
         if (answer.status() >= 500) {
-            attempt.at.failed(gateway.ticker().nanos());
+            gateway.endpointFailed(attempt.at);
             if (route.repeat().isRepeatable() && !begun && tryAgain("status " + answer.status())) {
                 return false;
             }
@@ -273,7 +273,7 @@
 
     private void notRun(CallForm.Answer answer) {
         if (answer.misdirected()) {
-            attempt.at.failed(gateway.ticker().nanos());
+            gateway.endpointFailed(attempt.at);
         } else {
             attempt.at.full(gateway.ticker().nanos());
         }
@@ -369,7 +369,7 @@
 
     /** Ends an attempt that the endpoint failed, and goes on elsewhere where that is allowed. */
     private void failAttempt(String reason) {
-        attempt.at.failed(gateway.ticker().nanos());
+        gateway.endpointFailed(attempt.at);
         boolean allowed = !mayHaveRun || route.repeat().isRepeatable();
         if (allowed && tryAgain(reason)) {
             return;
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -25,15 +25,16 @@
 import org.jujuberouter.catalog.Catalog;
 import org.jujuberouter.control.ControlFact;
 import org.jujuberouter.control.FeedListener;
+import org.jujuberouter.dispatch.EndpointState;
 import org.jujuberouter.dispatch.Fleet;
 import org.jujuberouter.dispatch.Placer;
 import org.jujuberouter.dispatch.RetryAllowance;
 import org.jujuberouter.dispatch.StoreContact;
 import org.jujuberouter.dispatch.Work;
-import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.RequestId;
 import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.misc.Ticker;
+import org.jujuberouter.peer.PeerMessage;
 
 /** What one instance knows, and the calls that it serves; used on its event loop only. */
 final class Gateway implements FeedListener {
@@ -58,7 +59,7 @@
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Set<Exchange> running = new HashSet<>();
     private final Set<Exchange> waiting = new LinkedHashSet<>();
-    private final Set<InstanceId> peers = new HashSet<>();
+    private PeerShare share;
     private Optional<Catalog> catalog = Optional.empty();
     private long previousIdleTimeoutMs;
     private boolean lookPlanned;
@@ -170,23 +171,63 @@
     }
 
     boolean tryRetry(ServiceName service) {
-        return retries(service).tryRetry(Math.max(1, peers.size()));
+        return retries(service).tryRetry(share.peers() + 1);
     }
 
-    void start(List<Work> works) {
+    void start(List<Work> works, long leftMs) {
         fleet.start(works);
+        share.started(works, leftMs);
     }
 
     void readDone(RequestId id) {
         fleet.readDone(id);
+        share.read(id);
         somethingChanged();
     }
 
     void end(RequestId id) {
         fleet.end(id);
+        share.ended(id);
         somethingChanged();
     }
 
+    /** Notes a failed call, here and at the peers. */
+    void endpointFailed(EndpointState endpoint) {
+        endpoint.failed(ticker.nanos());
+        share.failed(endpoint.endpoint().id());
+    }
+
+    void peerRead(RequestId id) {
+        fleet.readDone(id);
+        somethingChanged();
+    }
+
+    void peerEnded(RequestId id) {
+        fleet.end(id);
+        somethingChanged();
+    }
+
+    /** A peer's view with the same configuration proves that the one here was in force when the peer's view was current. */
+    void peerContact(PeerMessage.ContactReport report) {
+        if (report.configuration() == configuration()) {
+            contact.proved(report.askedNanos() - TimeUnit.MILLISECONDS.toNanos(report.ageMillis() + 1));
+        }
+    }
+
+    Fleet fleet() {
+        return fleet;
+    }
+
+    /** Returns the version of the configuration in force, or 0 where none is known. */
+    long configuration() {
+        return catalog.map(Catalog::version).orElse(0L);
+    }
+
+    /** Connects the peers, whose listener needs this one to be made. */
+    void attach(PeerShare peerShare) {
+        share = peerShare;
+    }
+
     void waitForPlace(Exchange exchange) {
         waiting.add(exchange);
         planLook(LOOK_AGAIN_MS);
@@ -240,7 +281,7 @@
                 fleet.setEvacuated(e.domain(), true);
                 log.belief("domain taken out", Map.entry("domain", e.domain()));
             }
-            case ControlFact.Peer p -> peers.add(p.instance());
+            case ControlFact.Peer p -> share.peer(p.instance(), p.address());
             case ControlFact.Unreadable u ->
                 log.belief("unreadable entry", Map.entry("key", key), Map.entry("reason", u.reason()));
         }
@@ -269,7 +310,12 @@
                 log.belief("domain taken back", Map.entry("domain", e.domain()));
                 somethingChanged();
             }
-            case ControlFact.Peer p -> peers.remove(p.instance());
+            case ControlFact.Peer p -> {
+                share.peer(p.instance(), null);
+                if (seenLive) {
+                    share.peerGone(p.instance());
+                }
+            }
             case ControlFact.Configuration _ -> log.belief("configuration removed; the last one stays in force");
             case ControlFact.Unreadable _ -> log.belief("unreadable entry gone", Map.entry("key", key));
         }
--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -59,6 +59,7 @@
             throws IOException {
         GatewayDaemon daemon = new GatewayDaemon(options, form, connector);
         StoreFeed feed = StoreFeed.of(daemon.store, daemon.loop, daemon.gateway.ticker(), daemon.gateway);
+        daemon.gateway.attach(PeerShare.start(daemon.gateway, daemon.loop, daemon.gateway.ticker(), options));
         daemon.loop.execute(() -> {
             feed.start();
             daemon.announce();
--- a/src/main/java/org/jujuberouter/peer/FieldWriter.java
+++ b/src/main/java/org/jujuberouter/peer/FieldWriter.java
@@ -8,10 +8,13 @@
 import org.jujuberouter.peer.PeerMessage.AnyOf;
 import org.jujuberouter.peer.PeerMessage.AtEndpoint;
 import org.jujuberouter.peer.PeerMessage.ClearNotice;
+import org.jujuberouter.peer.PeerMessage.ContactQuery;
+import org.jujuberouter.peer.PeerMessage.ContactReport;
 import org.jujuberouter.peer.PeerMessage.CrashNotice;
 import org.jujuberouter.peer.PeerMessage.Decision;
 import org.jujuberouter.peer.PeerMessage.DemandDigest;
 import org.jujuberouter.peer.PeerMessage.EndpointDigest;
+import org.jujuberouter.peer.PeerMessage.EndpointFailed;
 import org.jujuberouter.peer.PeerMessage.Granted;
 import org.jujuberouter.peer.PeerMessage.Handover;
 import org.jujuberouter.peer.PeerMessage.Heartbeat;
@@ -29,7 +32,12 @@
 import org.jujuberouter.peer.PeerMessage.RunRequest;
 import org.jujuberouter.peer.PeerMessage.SettingsPull;
 import org.jujuberouter.peer.PeerMessage.SettingsPush;
+import org.jujuberouter.peer.PeerMessage.ShareNotice;
 import org.jujuberouter.peer.PeerMessage.Target;
+import org.jujuberouter.peer.PeerMessage.WorkEnded;
+import org.jujuberouter.peer.PeerMessage.WorkPart;
+import org.jujuberouter.peer.PeerMessage.WorkRead;
+import org.jujuberouter.peer.PeerMessage.WorkStarted;
 import org.msgpack.core.MessagePacker;
 
 /** Writes a message field by field; the counterpart of the reading side of {@link PeerCodec}. */
@@ -92,6 +100,34 @@
                 type(PeerCodec.SETTINGS_PUSH, 2).number(m.version());
                 out.packBinaryHeader(m.document().length).writePayload(m.document());
             }
+            case ShareNotice m -> share(m);
+        }
+    }
+
+    private void share(ShareNotice message) throws IOException, PeerException {
+        switch (message) {
+            case WorkStarted m -> {
+                type(PeerCodec.WORK_STARTED, 3).text(m.request()).number(m.leftMillis());
+                list("parts", PeerCodec.MAX_PARTS, m.parts());
+                for (WorkPart p : m.parts()) {
+                    out.packArrayHeader(6);
+                    text(p.endpoint());
+                    out.packBoolean(p.holdsSlot());
+                    number(p.readMicros())
+                            .number(p.memoryTokens())
+                            .number(p.gapMillis())
+                            .real(p.weight());
+                }
+            }
+            case WorkRead m -> type(PeerCodec.WORK_READ, 1).text(m.request());
+            case WorkEnded m -> type(PeerCodec.WORK_ENDED, 1).text(m.request());
+            case ContactQuery m -> type(PeerCodec.CONTACT_QUERY, 1).time(m.askedNanos());
+            case ContactReport m ->
+                type(PeerCodec.CONTACT_REPORT, 3)
+                        .time(m.askedNanos())
+                        .number(m.ageMillis())
+                        .number(m.configuration());
+            case EndpointFailed m -> type(PeerCodec.ENDPOINT_FAILED, 1).text(m.endpoint());
         }
     }
 
--- a/src/main/java/org/jujuberouter/peer/PeerCodec.java
+++ b/src/main/java/org/jujuberouter/peer/PeerCodec.java
@@ -16,11 +16,14 @@
 import org.jujuberouter.peer.PeerMessage.AnyOf;
 import org.jujuberouter.peer.PeerMessage.AtEndpoint;
 import org.jujuberouter.peer.PeerMessage.ClearNotice;
+import org.jujuberouter.peer.PeerMessage.ContactQuery;
+import org.jujuberouter.peer.PeerMessage.ContactReport;
 import org.jujuberouter.peer.PeerMessage.CrashNotice;
 import org.jujuberouter.peer.PeerMessage.Decision;
 import org.jujuberouter.peer.PeerMessage.DemandDigest;
 import org.jujuberouter.peer.PeerMessage.Ending;
 import org.jujuberouter.peer.PeerMessage.EndpointDigest;
+import org.jujuberouter.peer.PeerMessage.EndpointFailed;
 import org.jujuberouter.peer.PeerMessage.Granted;
 import org.jujuberouter.peer.PeerMessage.Handover;
 import org.jujuberouter.peer.PeerMessage.Heartbeat;
@@ -42,6 +45,10 @@
 import org.jujuberouter.peer.PeerMessage.SettingsPush;
 import org.jujuberouter.peer.PeerMessage.Stage;
 import org.jujuberouter.peer.PeerMessage.Target;
+import org.jujuberouter.peer.PeerMessage.WorkEnded;
+import org.jujuberouter.peer.PeerMessage.WorkPart;
+import org.jujuberouter.peer.PeerMessage.WorkRead;
+import org.jujuberouter.peer.PeerMessage.WorkStarted;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessageInsufficientBufferException;
 import org.msgpack.core.MessagePack;
@@ -82,6 +89,9 @@
     /** The most crashes that one message names for a fingerprint; two convict it. */
     public static final int MAX_CRASHES = 64;
 
+    /** The most endpoints that one call occupies: the one that answers and its helpers, with room for more of them. */
+    public static final int MAX_PARTS = 64;
+
     /** The length before each frame. */
     static final int LENGTH_BYTES = 4;
 
@@ -101,6 +111,12 @@
     static final int RUN_REPLY = 13;
     static final int RUN_ENDED = 14;
     static final int HOLDER_QUERY = 15;
+    static final int WORK_STARTED = 16;
+    static final int WORK_READ = 17;
+    static final int WORK_ENDED = 18;
+    static final int CONTACT_QUERY = 19;
+    static final int CONTACT_REPORT = 20;
+    static final int ENDPOINT_FAILED = 21;
 
     static final int AT_ENDPOINT = 0;
     static final int ANY_OF = 1;
@@ -156,10 +172,48 @@
                 body(in, "SettingsPush", fields, 2, r -> new SettingsPush(r.number("version"), r.bytes("document")));
             case PERMIT_STAGE, HOLDER_QUERY, HOLDER_REPORT -> readHolder(in, fields, (int) type);
             case CLEAR_NOTICE, RUN_REQUEST, RUN_REPLY, RUN_ENDED -> readRun(in, fields, (int) type);
+            default -> readShare(in, fields, (int) Math.min(type, Integer.MAX_VALUE));
+        };
+    }
+
+    private static PeerMessage readShare(FieldReader in, int fields, int type) throws IOException, PeerException {
+        return switch (type) {
+            case WORK_STARTED ->
+                body(
+                        in,
+                        "WorkStarted",
+                        fields,
+                        3,
+                        r -> new WorkStarted(
+                                r.id("request", RequestId::of),
+                                r.number("time left"),
+                                r.list("parts", MAX_PARTS, e -> e.group("part", 6, PeerCodec::workPart))));
+            case WORK_READ -> body(in, "WorkRead", fields, 1, r -> new WorkRead(r.id("request", RequestId::of)));
+            case WORK_ENDED -> body(in, "WorkEnded", fields, 1, r -> new WorkEnded(r.id("request", RequestId::of)));
+            case CONTACT_QUERY -> body(in, "ContactQuery", fields, 1, r -> new ContactQuery(r.time()));
+            case CONTACT_REPORT ->
+                body(
+                        in,
+                        "ContactReport",
+                        fields,
+                        3,
+                        r -> new ContactReport(r.time(), r.number("age"), r.number("configuration")));
+            case ENDPOINT_FAILED ->
+                body(in, "EndpointFailed", fields, 1, r -> new EndpointFailed(r.id("endpoint", EndpointId::of)));
             default -> throw PeerException.of(Kind.UNKNOWN_TYPE, type);
         };
     }
 
+    private static WorkPart workPart(FieldReader r) throws IOException, PeerException {
+        return new WorkPart(
+                r.id("endpoint", EndpointId::of),
+                r.flag(),
+                r.number("reading time"),
+                r.number("memory"),
+                r.number("gap"),
+                r.real("weight"));
+    }
+
     private static PeerMessage readHolder(FieldReader in, int fields, int type) throws IOException, PeerException {
         return switch (type) {
             case PERMIT_STAGE ->
--- a/src/main/java/org/jujuberouter/peer/PeerMessage.java
+++ b/src/main/java/org/jujuberouter/peer/PeerMessage.java
@@ -325,4 +325,62 @@
             return Long.hashCode(version) * 31 + java.util.Arrays.hashCode(document);
         }
     }
+
+    /** What instances on the users' platform tell each other of the work that they placed and of the store. */
+    sealed interface ShareNotice extends PeerMessage {}
+
+    /**
+     * The sender sent a call to endpoints.
+     *
+     * @param leftMillis longest time that the work can last
+     * @param parts what it occupies, at most {@link PeerCodec#MAX_PARTS}
+     */
+    record WorkStarted(RequestId request, long leftMillis, List<WorkPart> parts) implements ShareNotice {
+        /** Copies the list. */
+        public WorkStarted {
+            parts = List.copyOf(parts);
+        }
+    }
+
+    /**
+     * What a call occupies at one endpoint.
+     *
+     * @param holdsSlot whether it takes a slot, or only reads a part of the prompt for another endpoint
+     * @param readMicros time to read its part of the prompt, in microseconds
+     * @param memoryTokens tokens that it holds in the endpoint's memory
+     * @param gapMillis longest pause that its stream bears; 0 where it does not stream
+     * @param weight what it loses when it is late
+     */
+    record WorkPart(
+            EndpointId endpoint,
+            boolean holdsSlot,
+            long readMicros,
+            long memoryTokens,
+            long gapMillis,
+            double weight) {}
+
+    /** The prompt of a call has been read. */
+    record WorkRead(RequestId request) implements ShareNotice {}
+
+    /** A call is no longer at any endpoint. */
+    record WorkEnded(RequestId request) implements ShareNotice {}
+
+    /**
+     * Asks how current the receiver's view of the store is.
+     *
+     * @param askedNanos the sender's monotonic time, returned in the report
+     */
+    record ContactQuery(long askedNanos) implements ShareNotice {}
+
+    /**
+     * Tells how current the sender's view of the store is.
+     *
+     * @param askedNanos the time in the query
+     * @param ageMillis age of the view when the report was made
+     * @param configuration the version of the configuration that the view holds
+     */
+    record ContactReport(long askedNanos, long ageMillis, long configuration) implements ShareNotice {}
+
+    /** Tells that an endpoint failed a call of the sender, so that others avoid it for a while. */
+    record EndpointFailed(EndpointId endpoint) implements ShareNotice {}
 }
--- a/src/main/java/org/jujuberouter/peer/PeerSamples.java
+++ b/src/main/java/org/jujuberouter/peer/PeerSamples.java
@@ -76,6 +76,16 @@
                 new RunRequest(8, FINGERPRINT, REQUEST, 30_000),
                 new RunReply(8, RunVerdict.WAIT, 250, List.of(crash(1))),
                 new RunEnded(FINGERPRINT, REQUEST, RunEnding.LOST, Optional.of("kk-engine-17@41")),
+                new PeerMessage.WorkStarted(
+                        REQUEST,
+                        15_000,
+                        Collections.nCopies(
+                                4, new PeerMessage.WorkPart(ENDPOINT, true, 470_000, 133_000, 1_000, 11.2))),
+                new PeerMessage.WorkRead(REQUEST),
+                new PeerMessage.WorkEnded(REQUEST),
+                new PeerMessage.ContactQuery(-7_000_000_000L),
+                new PeerMessage.ContactReport(-7_000_000_000L, 640, 18_233),
+                new PeerMessage.EndpointFailed(ENDPOINT),
                 new SettingsPull(1_912),
                 new SettingsPush(1_913, new byte[126_000]));
     }
