--- a/src/main/java/org/jujuberouter/cli/ServeCommand.java
+++ b/src/main/java/org/jujuberouter/cli/ServeCommand.java
@@ -5,9 +5,8 @@
 import java.util.concurrent.Callable;
 import org.jujuberouter.gateway.GatewayDaemon;
 import org.jujuberouter.gateway.GatewayOptions;
-import org.jujuberouter.platform.KvControlStore;
 import org.jujuberouter.platform.NodeFile;
-import org.jujuberouter.platform.PlatformCallForm;
+import org.jujuberouter.platform.UsersPlatform;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -40,7 +39,7 @@
             System.err.println("cannot read the settings: " + e.getMessage());
             return 1;
         }
-        GatewayDaemon daemon = GatewayDaemon.start(options, PlatformCallForm.create(), KvControlStore::at);
+        GatewayDaemon daemon = GatewayDaemon.start(options, UsersPlatform.create());
         StandinCommand.awaitStop(daemon);
         return 0;
     }
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -19,6 +20,7 @@
 import org.jujuberouter.catalog.Call;
 import org.jujuberouter.catalog.Catalog;
 import org.jujuberouter.catalog.Customer;
+import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.catalog.Route;
 import org.jujuberouter.catalog.ServiceSpec;
 import org.jujuberouter.dispatch.Demand;
@@ -169,35 +171,67 @@
                 1, TimeUnit.NANOSECONDS.toMillis(deadline - gateway.ticker().nanos()));
         gateway.start(place.works(), leftMs);
         tried.add(at.endpoint().id());
-        attempt = new Attempt(at);
-        List<CallForm.Helper> helpers = place.helpers().stream()
-                .map(h -> new CallForm.Helper(h.endpoint(), ""))
-                .toList();
-        String after = events == null ? "" : events.lastId();
+        Attempt made = new Attempt(at);
+        attempt = made;
+        if (place.tokensEach() == 0) {
+            open(made, place.helpers(), "");
+            return;
+        }
+        List<Endpoint> engines = new ArrayList<>();
+        engines.add(at.endpoint());
+        place.helpers().forEach(h -> engines.add(h.endpoint()));
+        String id = call.id().value() + "-" + tried.size();
+        made.reservation =
+                Reservation.ask(gateway.orders(), gateway.loop(), id, engines, place.tokensEach(), refusing -> {
+                    if (made == attempt) {
+                        reserved(made, place.helpers(), refusing);
+                    }
+                });
+    }
+
+    private void reserved(Attempt made, List<EndpointState> helpers, Endpoint refusing) {
+        if (refusing == null) {
+            open(made, helpers, made.reservation.id());
+            return;
+        }
+        gateway.log().call("memory not reserved", call, Map.entry("endpoint", refusing.id()));
+        gateway.fleet()
+                .find(refusing.id())
+                .ifPresent(e -> e.full(gateway.ticker().nanos()));
+        tried.remove(made.at.endpoint().id());
+        endAttempt();
+        gateway.waitForPlace(this);
+    }
+
+    private void open(Attempt made, List<EndpointState> helpers, String reservation) {
+        Endpoint at = made.at.endpoint();
+        long leftMs = Math.max(
+                1, TimeUnit.NANOSECONDS.toMillis(deadline - gateway.ticker().nanos()));
+        List<CallForm.Helper> readers = new ArrayList<>();
+        if (!reservation.isEmpty()) {
+            readers.add(new CallForm.Helper(at, reservation));
+        }
+        helpers.forEach(h -> readers.add(new CallForm.Helper(h.endpoint(), reservation)));
         gateway.log()
                 .call(
                         "sent",
                         call,
-                        Map.entry("endpoint", at.endpoint().id()),
+                        Map.entry("endpoint", at.id()),
                         Map.entry("helpers", helpers.size()),
+                        Map.entry("reserved", !reservation.isEmpty()),
                         Map.entry("attempt", tried.size()),
+                        Map.entry("tokens", demand.promptTokens()),
                         Map.entry("waited_ms", (gateway.ticker().nanos() - arrived) / 1_000_000));
-        attempt.call = ClientCall.send(
-                gateway.loop(),
-                at.endpoint().address(),
-                CONNECT_TIMEOUT_MS,
-                gateway.form()
-                        .write(
-                                head,
-                                body,
-                                new CallForm.Attempt(
-                                        at.endpoint(), customer.map(Customer::id), leftMs, after, helpers)),
-                attempt);
+        String after = events == null ? "" : events.lastId();
+        CallForm.Attempt form = new CallForm.Attempt(at, customer.map(Customer::id), leftMs, after, readers);
+        made.call = ClientCall.send(
+                gateway.loop(), at.address(), CONNECT_TIMEOUT_MS, gateway.form().write(head, body, form), made);
     }
 
     private final class Attempt implements CallListener {
         private final EndpointState at;
         private ClientCall call;
+        private Reservation reservation;
 
         private Attempt(EndpointState at) {
             this.at = at;
@@ -402,7 +436,7 @@
 
     /** The caller's connection has room again, or has none. */
     void callerReads(boolean reads) {
-        if (attempt != null) {
+        if (attempt != null && attempt.call != null) {
             attempt.call.setReading(reads);
         }
     }
@@ -473,6 +507,9 @@
             if (ended.call != null) {
                 ended.call.cancel();
             }
+            if (ended.reservation != null) {
+                ended.reservation.release();
+            }
             gateway.end(call.id());
         }
     }
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -50,6 +50,7 @@
     private final GatewayOptions options;
     private final EventLoop loop;
     private final CallForm form;
+    private final MemoryOrders orders;
     private final Ticker ticker = Ticker.system();
     private final GatewayLog log;
     private final StoreContact contact;
@@ -66,7 +67,8 @@
     private boolean stopping;
     private boolean inContact;
 
-    Gateway(GatewayOptions options, EventLoop loop, CallForm form) {
+    Gateway(GatewayOptions options, EventLoop loop, CallForm form, MemoryOrders orders) {
+        this.orders = orders;
         this.options = options;
         this.loop = loop;
         this.form = form;
@@ -89,6 +91,10 @@
         return form;
     }
 
+    MemoryOrders orders() {
+        return orders;
+    }
+
     GatewayLog log() {
         return log;
     }
--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -16,7 +16,6 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import org.jujuberouter.control.ControlStore;
 import org.jujuberouter.control.StoreFeed;
@@ -44,20 +43,17 @@
     private final Gateway gateway;
     private final ControlStore store;
 
-    private GatewayDaemon(
-            GatewayOptions options, CallForm form, BiFunction<EventLoop, InetSocketAddress, ControlStore> connector) {
+    private GatewayDaemon(GatewayOptions options, OutsideWorld outside) {
         this.options = options;
         this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         this.loop = group.next();
-        this.gateway = new Gateway(options, loop, form);
-        this.store = connector.apply(loop, options.store());
+        this.gateway = new Gateway(options, loop, outside.form(), outside.orders(loop));
+        this.store = outside.store(loop, options.store());
     }
 
-    /** Starts an instance; the connector makes the client of the store. */
-    public static GatewayDaemon start(
-            GatewayOptions options, CallForm form, BiFunction<EventLoop, InetSocketAddress, ControlStore> connector)
-            throws IOException {
-        GatewayDaemon daemon = new GatewayDaemon(options, form, connector);
+    /** Starts an instance. */
+    public static GatewayDaemon start(GatewayOptions options, OutsideWorld outside) throws IOException {
+        GatewayDaemon daemon = new GatewayDaemon(options, outside);
         StoreFeed feed = StoreFeed.of(daemon.store, daemon.loop, daemon.gateway.ticker(), daemon.gateway);
         daemon.gateway.attach(PeerShare.start(daemon.gateway, daemon.loop, daemon.gateway.ticker(), options));
         daemon.loop.execute(() -> {
--- /dev/null
+++ b/src/main/java/org/jujuberouter/gateway/Reservation.java
@@ -0,0 +1,92 @@
+package org.jujuberouter.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jujuberouter.catalog.Endpoint;
+
+/**
+ * Memory set aside at several engines for one attempt.
+ *
+ * <p>All engines are asked at once and none waits for memory, so two prompts never hold a half each and wait for the other.
+ * Each hold is short and extended while the attempt runs: memory that an instance leaves behind, or that an order sets
+ * aside after its release, lapses by itself.
+ */
+final class Reservation {
+    /** Time of one hold; below the bound after which memory without use counts as lost (4 s in the deployments). */
+    private static final long HOLD_MS = 3_200;
+
+    private static final long EXTEND_MS = 1_000;
+
+    private final MemoryOrders orders;
+    private final EventLoop loop;
+    private final String id;
+    private final List<Endpoint> engines;
+    private final long tokensEach;
+    private int granted;
+    private boolean ended;
+    private ScheduledFuture<?> timer;
+
+    private Reservation(MemoryOrders orders, EventLoop loop, String id, List<Endpoint> engines, long tokensEach) {
+        this.orders = orders;
+        this.loop = loop;
+        this.id = id;
+        this.engines = List.copyOf(engines);
+        this.tokensEach = tokensEach;
+    }
+
+    /** Asks all engines; the listener gets null when all granted it, else an engine that did not. */
+    static Reservation ask(
+            MemoryOrders orders,
+            EventLoop loop,
+            String id,
+            List<Endpoint> engines,
+            long tokensEach,
+            Consumer<Endpoint> listener) {
+        Reservation made = new Reservation(orders, loop, id, engines, tokensEach);
+        for (Endpoint e : made.engines) {
+            orders.reserve(e, id, tokensEach, HOLD_MS, outcome -> made.answered(e, outcome, listener));
+        }
+        return made;
+    }
+
+    String id() {
+        return id;
+    }
+
+    private void answered(Endpoint engine, MemoryOrders.Outcome outcome, Consumer<Endpoint> listener) {
+        if (ended) {
+            return;
+        }
+        if (outcome != MemoryOrders.Outcome.GRANTED) {
+            release();
+            listener.accept(engine);
+            return;
+        }
+        granted++;
+        if (granted == engines.size()) {
+            timer = loop.scheduleAtFixedRate(this::extend, EXTEND_MS, EXTEND_MS, TimeUnit.MILLISECONDS);
+            listener.accept(null);
+        }
+    }
+
+    private void extend() {
+        for (Endpoint e : engines) {
+            orders.reserve(e, id, tokensEach, HOLD_MS, _ -> {});
+        }
+    }
+
+    /** Frees the memory at all engines, also where the answer to the order is still due. */
+    void release() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        engines.forEach(e -> orders.release(e, id));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/platform/EngineOrders.java
@@ -0,0 +1,57 @@
+package org.jujuberouter.platform;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoop;
+import java.util.function.Consumer;
+import org.jujuberouter.catalog.Endpoint;
+import org.jujuberouter.gateway.MemoryOrders;
+import org.jujuberouter.http.JsonClient;
+import org.jujuberouter.http.JsonReply;
+import org.jujuberouter.misc.Json;
+
+/** Orders to engines over HTTP, each on a connection of its own. */
+public final class EngineOrders implements MemoryOrders {
+    private static final String PATH = "/v1/order";
+
+    /** Longest wait for an answer; the first event of a prompt that needs the memory is due within some seconds. */
+    private static final long TIMEOUT_MS = 400;
+
+    private final EventLoop loop;
+
+    private EngineOrders(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    /** Returns orders whose listeners run on the loop. */
+    public static EngineOrders on(EventLoop loop) {
+        return new EngineOrders(loop);
+    }
+
+    @Override
+    public void reserve(Endpoint at, String id, long tokens, long holdMs, Consumer<Outcome> listener) {
+        ObjectNode order = Json.MAPPER.createObjectNode();
+        order.put("Operation", "reserve")
+                .put("Id", id)
+                .put("TokenCount", tokens)
+                .put("HoldMs", holdMs);
+        send(at, order, listener);
+    }
+
+    @Override
+    public void release(Endpoint at, String id) {
+        send(at, Json.MAPPER.createObjectNode().put("Operation", "release").put("Id", id), _ -> {});
+    }
+
+    private void send(Endpoint at, ObjectNode order, Consumer<Outcome> listener) {
+        JsonClient call = JsonClient.to(loop, at.address());
+        call.call("POST", PATH, JsonClient.bytes(order.toString()), TIMEOUT_MS, reply -> {
+            loop.execute(call::close);
+            listener.accept(
+                    switch (reply) {
+                        case JsonReply.Answer a when a.status() == 200 -> Outcome.GRANTED;
+                        case JsonReply.Answer _ -> Outcome.REFUSED;
+                        case JsonReply.Silence _ -> Outcome.UNKNOWN;
+                    });
+        });
+    }
+}
