--- a/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
+++ b/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
@@ -44,6 +44,7 @@
             Map.entry("admission", Set.of()),
             Map.entry("routing", Set.of()),
             Map.entry("limits", Set.of()),
+            Map.entry("dispatch", Set.of("catalog")),
             Map.entry("memory", Set.of()),
             Map.entry("outcome", Set.of("error", "store")),
             Map.entry("orders", Set.of("store", "settings")),
@@ -148,6 +149,27 @@
                 .check(CLASSES);
     }
 
+    /** Guards against names of the users' platform that spread through the product. */
+    @Test
+    void theWireNamesOfTheUsersPlatformAreInItsAdapterAlone() throws IOException {
+        List<String> names = List.of("X-Jujuberouter-", "kv-txn", "kv-watch", "op/config", "servers/", "PortRange");
+        try (Stream<Path> files = Files.walk(SOURCES)) {
+            List<Path> using = files.filter(f -> f.toString().endsWith(".java"))
+                    .filter(f -> !f.startsWith(SOURCES.resolve("platform")))
+                    .filter(f -> names.stream().anyMatch(n -> read(f).contains(n)))
+                    .toList();
+            assertEquals(List.of(), using);
+        }
+    }
+
+    private static String read(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
     @Test
     void packagesHaveNoCycles() {
         SlicesRuleDefinition.slices()
--- /dev/null
+++ b/src/test/java/org/jujuberouter/dispatch/PlacerTest.java
@@ -0,0 +1,162 @@
+package org.jujuberouter.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.jujuberouter.catalog.Endpoint;
+import org.jujuberouter.catalog.EngineModel;
+import org.jujuberouter.catalog.ServiceSpec;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.RequestId;
+import org.jujuberouter.id.ServiceName;
+import org.jujuberouter.misc.ManualTicker;
+import org.junit.jupiter.api.Test;
+
+/** Guards against loads that make short streams late, long prompts late, or memory run out. */
+class PlacerTest {
+    private static final ServiceName SERVICE = ServiceName.of("assistant");
+    private static final EngineModel ENGINE = new EngineModel(11, 232_000, 43, 1.02, 0.0033, 0.0043, 206, 0.138, 2_048);
+    private static final ServiceSpec SPEC = new ServiceSpec(SERVICE, "/health", 304, 26, Optional.of(ENGINE));
+
+    private final ManualTicker ticker = ManualTicker.atZero();
+    private final Fleet fleet = Fleet.empty(ticker);
+    private final Placer placer = Placer.on(fleet, ticker);
+    private int calls;
+
+    private void engines(int count) {
+        for (int i = 0; i < count; i++) {
+            fleet.put(engine(i, 0));
+        }
+    }
+
+    private static Endpoint engine(int i, long coldMs) {
+        return new Endpoint(
+                EndpointId.of("e" + i),
+                SERVICE,
+                new InetSocketAddress("10.0.0." + (i + 1), 80),
+                FailureDomain.of("z" + i % 3),
+                11,
+                false,
+                coldMs,
+                0);
+    }
+
+    private Demand shortPrompt() {
+        return new Demand(RequestId.of("s" + calls++), SERVICE, 5_000, 1_376, 300, 250);
+    }
+
+    private Demand longPrompt(long tokens) {
+        return new Demand(RequestId.of("l" + calls++), SERVICE, tokens, 700, 2_500, 1_000);
+    }
+
+    private Placement.Send send(Demand demand) {
+        Placement.Send send = assertInstanceOf(
+                Placement.Send.class, placer.place(demand, SPEC, Set.of(), 0), "placement of " + demand);
+        fleet.start(send.works());
+        return send;
+    }
+
+    /** Pattern: a burst of short prompts beside long ones that are being read. */
+    @Test
+    void keepsShortPromptsAwayFromEnginesThatReadALongOne() {
+        engines(6);
+        Set<EndpointId> reading = new HashSet<>();
+        Placement.Send longOne = send(longPrompt(133_000));
+        longOne.works().forEach(w -> reading.add(w.endpoint()));
+        for (int i = 0; i < 12; i++) {
+            ticker.advance(Duration.ofMillis(30));
+            Demand demand = shortPrompt();
+            EndpointId at = send(demand).endpoint().endpoint().id();
+            assertFalse(reading.contains(at), "short prompt beside the long one at " + at);
+            fleet.readDone(demand.id());
+        }
+    }
+
+    /** Pattern: a long prompt arrives while short streams write. */
+    @Test
+    void doesNotReadALongPromptOnAnEngineWithShortStreams() {
+        engines(6);
+        Set<EndpointId> writing = new HashSet<>();
+        for (int i = 0; i < 12; i++) {
+            Demand demand = shortPrompt();
+            writing.add(send(demand).endpoint().endpoint().id());
+            fleet.readDone(demand.id());
+        }
+        assertTrue(writing.size() < 4, "short prompts leave engines free for long ones: " + writing);
+        for (Work w : send(longPrompt(133_000)).works()) {
+            assertFalse(writing.contains(w.endpoint()));
+        }
+    }
+
+    /** Pattern: prompts larger than one engine's memory. */
+    @Test
+    void dividesAPromptThatFitsNoEngineAndReservesItsMemory() {
+        engines(8);
+        Placement.Send send = send(longPrompt(405_000));
+        assertTrue(send.tokensEach() > 0);
+        assertTrue(send.tokensEach() * send.works().size() >= 405_700);
+        assertTrue(send.tokensEach() < 232_000);
+    }
+
+    @Test
+    void waitsWhileMemoryForALargePromptIsNotFree() {
+        engines(2);
+        for (int i = 0; i < 2; i++) {
+            Demand demand = longPrompt(200_000);
+            send(demand);
+            ticker.advance(Duration.ofSeconds(4));
+            fleet.readDone(demand.id());
+        }
+        assertInstanceOf(Placement.Wait.class, placer.place(longPrompt(405_000), SPEC, Set.of(), 0));
+    }
+
+    /** Pattern: a prompt whose objective a single engine would miss. */
+    @Test
+    void readsAPromptInPartsWhenOneEngineWouldBeLate() {
+        engines(8);
+        assertTrue(ENGINE.readMs(190_000) > 2_500);
+        assertTrue(send(longPrompt(190_000)).works().size() > 1);
+        assertEquals(1, send(longPrompt(30_000)).works().size());
+    }
+
+    /** Pattern: a cold endpoint comes back into a burst. */
+    @Test
+    void sendsAColdEndpointNoMoreThanItBearsInASecond() {
+        fleet.put(engine(0, 10_000));
+        ServiceSpec cold = new ServiceSpec(SERVICE, "/health", 304, 4, Optional.of(ENGINE));
+        for (int i = 0; i < 4; i++) {
+            Demand demand = shortPrompt();
+            Placement.Send sent = assertInstanceOf(Placement.Send.class, placer.place(demand, cold, Set.of(), 1_000));
+            fleet.start(sent.works());
+            fleet.end(demand.id());
+        }
+        assertInstanceOf(Placement.Wait.class, placer.place(shortPrompt(), cold, Set.of(), 1_000));
+        ticker.advance(Duration.ofMillis(1_001));
+        assertInstanceOf(Placement.Send.class, placer.place(shortPrompt(), cold, Set.of(), 1_000));
+    }
+
+    @Test
+    void refusesAtOnceWhenNoEndpointIsLeft() {
+        assertInstanceOf(Placement.Refuse.class, placer.place(shortPrompt(), SPEC, Set.of(), 0));
+        engines(1);
+        fleet.setEvacuated(FailureDomain.of("z0"), true);
+        assertInstanceOf(Placement.Refuse.class, placer.place(shortPrompt(), SPEC, Set.of(), 0));
+        fleet.setEvacuated(FailureDomain.of("z0"), false);
+        assertInstanceOf(Placement.Send.class, placer.place(shortPrompt(), SPEC, Set.of(), 0));
+    }
+
+    @Test
+    void sendsNothingToADrainingEndpoint() {
+        Endpoint e = engine(0, 0);
+        fleet.put(new Endpoint(e.id(), e.service(), e.address(), e.domain(), e.slots(), true, 0, 0));
+        assertInstanceOf(Placement.Refuse.class, placer.place(shortPrompt(), SPEC, Set.of(), 0));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jujuberouter/dispatch/RetryAllowanceTest.java
@@ -0,0 +1,43 @@
+package org.jujuberouter.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import org.jujuberouter.misc.ManualTicker;
+import org.junit.jupiter.api.Test;
+
+/** Guards against retries that exceed the budget of all instances together. */
+class RetryAllowanceTest {
+    private final ManualTicker ticker = ManualTicker.atZero();
+
+    private static int take(RetryAllowance allowance, int instances) {
+        int n = 0;
+        while (n < 10_000 && allowance.tryRetry(instances)) {
+            n++;
+        }
+        return n;
+    }
+
+    @Test
+    void sumsUpToLessThanTheBudgetOfAllInstances() {
+        int sum = 0;
+        for (int i = 0; i < 8; i++) {
+            RetryAllowance allowance = RetryAllowance.of(ticker, 10_000, 0.2, 104);
+            for (int r = 0; r < 50; r++) {
+                allowance.request();
+            }
+            sum += take(allowance, 8);
+        }
+        assertEquals(true, sum <= 0.2 * 400 + 104, "retries " + sum);
+        assertEquals(true, sum >= 0.7 * (0.2 * 400 + 104), "retries " + sum);
+    }
+
+    @Test
+    void givesRetriesBackWhenTheWindowHasPassed() {
+        RetryAllowance allowance = RetryAllowance.of(ticker, 10_000, 0.2, 10);
+        int first = take(allowance, 1);
+        assertEquals(0, take(allowance, 1));
+        ticker.advance(Duration.ofMillis(10_001));
+        assertEquals(first, take(allowance, 1));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jujuberouter/gateway/EventSplitterTest.java
@@ -0,0 +1,47 @@
+package org.jujuberouter.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/** Guards against parts of events that reach a caller before another engine goes on. */
+class EventSplitterTest {
+    private static final String EVENTS = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweight: 3\nid:7\ndata: c\n\n";
+
+    private static ByteBuf bytes(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+    }
+
+    private static String text(ByteBuf buffer) {
+        return buffer.toString(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void passesWholeEventsOnInEveryDivisionOfTheBytes() {
+        for (int cut = 0; cut <= EVENTS.length(); cut++) {
+            EventSplitter splitter = EventSplitter.after("");
+            String out = text(splitter.feed(bytes(EVENTS.substring(0, cut))))
+                    + text(splitter.feed(bytes(EVENTS.substring(cut))));
+            assertEquals(EVENTS, out, "cut at " + cut);
+            assertEquals("7", splitter.lastId());
+        }
+    }
+
+    @Test
+    void keepsAPartOfAnEventBackAndForgetsItWhenAnotherEngineGoesOn() {
+        EventSplitter splitter = EventSplitter.after("");
+        assertEquals("id: 1\ndata: a\n\n", text(splitter.feed(bytes("id: 1\ndata: a\n\nid: 2\nda"))));
+        assertEquals("1", splitter.lastId());
+        splitter.dropPart();
+        assertEquals("id: 2\ndata: b\n\n", text(splitter.feed(bytes("id: 2\ndata: b\n\n"))));
+        assertEquals("2", splitter.lastId());
+    }
+
+    @Test
+    void startsAfterTheEventThatTheCallerHas() {
+        assertEquals("12", EventSplitter.after("12").lastId());
+    }
+}
