--- a/src/main/java/org/jujuberouter/dispatch/EndpointLoad.java
+++ b/src/main/java/org/jujuberouter/dispatch/EndpointLoad.java
@@ -14,6 +14,9 @@
 public final class EndpointLoad {
     private static final double NANOS_PER_MS = 1e6;
 
+    /** Part of the pass under way that a call waits for, a little above the mean. */
+    private static final double PART_OF_CURRENT_PASS = 0.7;
+
     private final List<Item> items = new ArrayList<>();
     private long readingSince;
 
@@ -87,6 +90,19 @@
         return engine.writePassMs(slotsUsed() + 1, memoryTokens()) + readLeftMs(now) + additionalReadMs;
     }
 
+    /**
+     * Returns the time to the first event of a further call, in milliseconds.
+     *
+     * <p>A call that arrives during a pass is taken up by the next one, and its first event comes at the end of that.
+     */
+    public double firstMs(EngineModel engine, double additionalReadMs, long now) {
+        double next = passMs(engine, additionalReadMs, now);
+        if (slotsUsed() == 0) {
+            return next;
+        }
+        return next + PART_OF_CURRENT_PASS * engine.writePassMs(slotsUsed(), memoryTokens());
+    }
+
     /** Returns the weight of the streams that a pass of the given length would make late. */
     public double lateWeight(double passMs, double usablePart) {
         double sum = 0;
--- a/src/main/java/org/jujuberouter/dispatch/Placer.java
+++ b/src/main/java/org/jujuberouter/dispatch/Placer.java
@@ -23,6 +23,9 @@
     /** Part of a stream's pause that may be planned; the rest covers what the model does not see. */
     private static final double USABLE_GAP = 0.8;
 
+    /** Part of the objective that may be planned. */
+    private static final double USABLE_OBJECTIVE = 0.75;
+
     /** Part of the objective at which a placement counts as early enough. */
     private static final double EARLY_ENOUGH = 0.6;
 
@@ -138,22 +141,25 @@
                 continue;
             }
             double pass = load.passMs(engine, readMs, now);
-            double wait = load.slotsUsed() > 0 ? pass : load.readLeftMs(now) + readMs;
+            double first = load.firstMs(engine, readMs, now);
+            double loss = load.lateWeight(pass, USABLE_GAP);
+            if (first > demand.objectiveMs() * USABLE_OBJECTIVE) {
+                loss += demand.weight();
+            }
             boolean slot = load.slotsUsed() < e.endpoint().slots();
             int place = shortPrompt ? i : open.size() - i;
-            rated.add(new Rated(e, load.lateWeight(pass, USABLE_GAP), wait, load.readLeftMs(now), slot, place));
+            rated.add(new Rated(e, loss, first, load.readLeftMs(now), slot, place));
         }
         rated.sort(Comparator.comparingDouble(Rated::loss)
                 .thenComparingDouble(r -> shortPrompt ? 0 : r.readLeftMs)
                 .thenComparingInt(Rated::place));
-        return choose(demand, rated, parts, memory, divided ? perEngine : 0, perEngine);
+        return choose(rated, parts, memory, divided ? perEngine : 0, perEngine);
     }
 
     private record Rated(
             EndpointState state, double loss, double firstMs, double readLeftMs, boolean slot, int place) {}
 
-    private static Option choose(
-            Demand demand, List<Rated> rated, int parts, long memory, long dividedOver, long perEngine) {
+    private static Option choose(List<Rated> rated, int parts, long memory, long dividedOver, long perEngine) {
         int first = -1;
         for (int i = 0; i < rated.size() && first < 0; i++) {
             EndpointLoad load = rated.get(i).state.load();
@@ -175,9 +181,6 @@
                 firstMs = Math.max(firstMs, rated.get(i).firstMs);
             }
         }
-        if (firstMs > demand.objectiveMs() * 0.9) {
-            loss += demand.weight();
-        }
         return new Option(chosen, loss, firstMs);
     }
 
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -73,7 +73,9 @@
     private EventSplitter events;
     private ByteBuf held;
     private HttpResponse heldHead;
-    private boolean firstEventSeen;
+    private long firstEventAt;
+    private long lastEventAt;
+    private long longestGap;
 
     Exchange(Gateway gateway, CallerConnection caller, HttpRequest head, ByteBuf body) {
         this.gateway = gateway;
@@ -330,10 +332,7 @@
         if (begun && events != null) {
             ByteBuf whole = events.feed(piece);
             if (whole.isReadable()) {
-                if (!firstEventSeen) {
-                    firstEventSeen = true;
-                    gateway.readDone(call.id());
-                }
+                noteEvent();
                 if (!caller.piece(whole)) {
                     attempt.call.setReading(false);
                 }
@@ -352,6 +351,17 @@
         }
     }
 
+    private void noteEvent() {
+        long now = gateway.ticker().nanos();
+        if (firstEventAt == 0) {
+            firstEventAt = now;
+            gateway.readDone(call.id());
+        } else {
+            longestGap = Math.max(longestGap, now - lastEventAt);
+        }
+        lastEventAt = now;
+    }
+
     private void begin() {
         begun = true;
         HttpUtil.setTransferEncodingChunked(heldHead, true);
@@ -366,6 +376,11 @@
                         call,
                         Map.entry("endpoint", attempt.at.endpoint().id()),
                         Map.entry("status", heldHead.status().code()),
+                        Map.entry("tokens", demand.promptTokens()),
+                        Map.entry("first_ms", firstEventAt == 0 ? -1 : (firstEventAt - arrived) / 1_000_000),
+                        Map.entry("objective_ms", route.objectiveMs()),
+                        Map.entry("longest_gap_ms", longestGap / 1_000_000),
+                        Map.entry("gap_bound_ms", route.gapMs()),
                         Map.entry("ms", (gateway.ticker().nanos() - arrived) / 1_000_000));
         endAttempt();
         finish();
