--- a/src/main/java/org/jujuberouter/dispatch/EndpointLoad.java
+++ b/src/main/java/org/jujuberouter/dispatch/EndpointLoad.java
@@ -22,10 +22,12 @@
 
     private static final class Item {
         private final Work work;
+        private final long startedAt;
         private boolean reading;
 
-        private Item(Work work) {
+        private Item(Work work, long startedAt) {
             this.work = work;
+            this.startedAt = startedAt;
             this.reading = work.readMs() > 0;
         }
     }
@@ -35,7 +37,7 @@
             items.forEach(i -> i.reading = false);
             readingSince = now;
         }
-        items.add(new Item(work));
+        items.add(new Item(work, now));
     }
 
     void readDone(RequestId id, long now) {
@@ -114,6 +116,23 @@
         return sum;
     }
 
+    /**
+     * Returns the weight of the prompts whose first event further reading ahead of them would make late.
+     *
+     * <p>An engine reads the parts that it reads for others first, so such a part delays every prompt that is being read.
+     */
+    public double overtakenWeight(EngineModel engine, double additionalReadMs, long now) {
+        double left = readLeftMs(now) + engine.writePassMs(slotsUsed(), memoryTokens());
+        double sum = 0;
+        for (Item i : items) {
+            double dueMs = i.work.objectiveMs() - (now - i.startedAt) / NANOS_PER_MS;
+            if (i.reading && left <= dueMs && left + additionalReadMs > dueMs) {
+                sum += i.work.weight();
+            }
+        }
+        return sum;
+    }
+
     private double readTotalMs() {
         double sum = 0;
         for (Item i : items) {
--- a/src/main/java/org/jujuberouter/dispatch/Placement.java
+++ b/src/main/java/org/jujuberouter/dispatch/Placement.java
@@ -11,8 +11,16 @@
      * @param helpers endpoints that read parts of the prompt
      * @param works what the call occupies
      * @param tokensEach tokens of memory to reserve at each endpoint, where the prompt does not fit into one; else 0
+     * @param firstMs predicted time to the first event, in milliseconds; 0 where it is not predicted
+     * @param loss weight of what the placement is expected to make late
      */
-    record Send(EndpointState endpoint, List<EndpointState> helpers, List<Work> works, long tokensEach)
+    record Send(
+            EndpointState endpoint,
+            List<EndpointState> helpers,
+            List<Work> works,
+            long tokensEach,
+            double firstMs,
+            double loss)
             implements Placement {
         /** Copies the lists. */
         public Send {
--- a/src/main/java/org/jujuberouter/dispatch/Placer.java
+++ b/src/main/java/org/jujuberouter/dispatch/Placer.java
@@ -38,6 +38,15 @@
     /** Part of an engine's memory that may be planned; the newest call is preempted when it runs out. */
     private static final double USABLE_MEMORY = 0.94;
 
+    /** Part of an engine's slots that makes one step of crowding. */
+    private static final double CROWD_STEP = 0.6;
+
+    /**
+     * Engines among which calls are spread that find the same ones best: two instances choose at the same moment before
+     * they hear of each other.
+     */
+    private static final int ALIKE = 3;
+
     /** The numbers of parts that are tried; an engine takes at most 16 helpers. */
     private static final int[] PARTS = {1, 2, 3, 4, 6, 8, 11, 14, 17};
 
@@ -93,8 +102,8 @@
             return new Placement.Wait();
         }
         EndpointState e = best.get();
-        Work work = new Work(demand.id(), e.endpoint().id(), true, 0, 0, 0, demand.weight());
-        return new Placement.Send(e, List.of(), List.of(work), 0);
+        Work work = new Work(demand.id(), e.endpoint().id(), true, 0, 0, demand.objectiveMs(), 0, demand.weight());
+        return new Placement.Send(e, List.of(), List.of(work), 0, 0, 0);
     }
 
     private Placement placePrompt(
@@ -142,46 +151,61 @@
             }
             double pass = load.passMs(engine, readMs, now);
             double first = load.firstMs(engine, readMs, now);
-            double loss = load.lateWeight(pass, USABLE_GAP);
-            if (first > demand.objectiveMs() * USABLE_OBJECTIVE) {
-                loss += demand.weight();
+            double harm = load.lateWeight(pass, USABLE_GAP);
+            if (parts > 1) {
+                harm += load.overtakenWeight(engine, readMs, now);
             }
+            double own = first > demand.objectiveMs() * USABLE_OBJECTIVE ? demand.weight() : 0;
             boolean slot = load.slotsUsed() < e.endpoint().slots();
             int place = shortPrompt ? i : open.size() - i;
-            rated.add(new Rated(e, loss, first, load.readLeftMs(now), slot, place));
+            // Engines with room to spare go first, so that calls placed at the same moment do not fill one up.
+            double crowd = shortPrompt
+                    ? Math.floor(load.slotsUsed() / (e.endpoint().slots() * CROWD_STEP))
+                    : load.readLeftMs(now);
+            rated.add(new Rated(e, harm, own, first, crowd, slot, place));
         }
         rated.sort(Comparator.comparingDouble(Rated::loss)
-                .thenComparingDouble(r -> shortPrompt ? 0 : r.readLeftMs)
+                .thenComparingDouble(Rated::crowd)
                 .thenComparingInt(Rated::place));
-        return choose(rated, parts, memory, divided ? perEngine : 0, perEngine);
+        return choose(demand, rated, parts, memory, divided ? perEngine : 0, perEngine);
     }
 
     private record Rated(
-            EndpointState state, double loss, double firstMs, double readLeftMs, boolean slot, int place) {}
-
-    private static Option choose(List<Rated> rated, int parts, long memory, long dividedOver, long perEngine) {
-        int first = -1;
-        for (int i = 0; i < rated.size() && first < 0; i++) {
-            EndpointLoad load = rated.get(i).state.load();
-            if (rated.get(i).slot && (dividedOver > 0 || load.memoryTokens() + memory <= perEngine)) {
-                first = i;
-            }
+            EndpointState state, double harm, double own, double firstMs, double crowd, boolean slot, int place) {
+        private double loss() {
+            return harm + own;
         }
-        if (first < 0 || rated.size() < parts) {
+    }
+
+    private static Option choose(
+            Demand demand, List<Rated> rated, int parts, long memory, long dividedOver, long perEngine) {
+        List<Rated> able = rated.stream()
+                .filter(r -> r.slot && (dividedOver > 0 || r.state.load().memoryTokens() + memory <= perEngine))
+                .toList();
+        if (able.isEmpty() || rated.size() < parts) {
             return null;
         }
+        Rated best = able.getFirst();
+        List<Rated> alike = able.stream()
+                .filter(r -> r.loss() <= best.loss() && r.crowd <= best.crowd)
+                .limit(ALIKE)
+                .toList();
+        Rated first = alike.get(Math.floorMod(demand.id().hashCode(), alike.size()));
         List<EndpointState> chosen = new ArrayList<>();
-        chosen.add(rated.get(first).state);
-        double loss = rated.get(first).loss;
-        double firstMs = rated.get(first).firstMs;
+        chosen.add(first.state);
+        double harm = first.harm;
+        double own = first.own;
+        double firstMs = first.firstMs;
         for (int i = 0; i < rated.size() && chosen.size() < parts; i++) {
-            if (i != first) {
-                chosen.add(rated.get(i).state);
-                loss += rated.get(i).loss;
-                firstMs = Math.max(firstMs, rated.get(i).firstMs);
+            Rated r = rated.get(i);
+            if (r != first) {
+                chosen.add(r.state);
+                harm += r.harm;
+                own = Math.max(own, r.own);
+                firstMs = Math.max(firstMs, r.firstMs);
             }
         }
-        return new Option(chosen, loss, firstMs);
+        return new Option(chosen, harm + own, firstMs);
     }
 
     private static Placement send(Demand demand, EngineModel engine, Option option) {
@@ -199,10 +223,16 @@
                     first,
                     readMs,
                     held,
+                    demand.objectiveMs(),
                     first ? demand.gapMs() : 0,
                     demand.weight()));
         }
         return new Placement.Send(
-                option.parts.getFirst(), option.parts.subList(1, parts), works, divided ? memory / parts + 1 : 0);
+                option.parts.getFirst(),
+                option.parts.subList(1, parts),
+                works,
+                divided ? memory / parts + 1 : 0,
+                option.firstMs,
+                option.loss);
     }
 }
--- a/src/main/java/org/jujuberouter/dispatch/Work.java
+++ b/src/main/java/org/jujuberouter/dispatch/Work.java
@@ -11,6 +11,7 @@
  * @param holdsSlot whether it takes a slot; reading a part for another endpoint takes none
  * @param readMs time to read its part of the prompt, in milliseconds
  * @param memoryTokens tokens that it holds in the endpoint's memory
+ * @param objectiveMs time from its start to the first event that counts as on time, in milliseconds
  * @param gapMs longest pause that its stream bears, in milliseconds; 0 where it does not stream
  * @param weight what it loses when it is late
  */
@@ -20,5 +21,6 @@
         boolean holdsSlot,
         double readMs,
         long memoryTokens,
+        long objectiveMs,
         long gapMs,
         double weight) {}
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.jujuberouter.catalog.Call;
 import org.jujuberouter.catalog.Catalog;
 import org.jujuberouter.catalog.Customer;
@@ -176,7 +177,7 @@
         Attempt made = new Attempt(at);
         attempt = made;
         if (place.tokensEach() == 0) {
-            open(made, place.helpers(), "");
+            open(made, place, "");
             return;
         }
         List<Endpoint> engines = new ArrayList<>();
@@ -186,14 +187,14 @@
         made.reservation =
                 Reservation.ask(gateway.orders(), gateway.loop(), id, engines, place.tokensEach(), refusing -> {
                     if (made == attempt) {
-                        reserved(made, place.helpers(), refusing);
+                        reserved(made, place, refusing);
                     }
                 });
     }
 
-    private void reserved(Attempt made, List<EndpointState> helpers, Endpoint refusing) {
+    private void reserved(Attempt made, Placement.Send place, Endpoint refusing) {
         if (refusing == null) {
-            open(made, helpers, made.reservation.id());
+            open(made, place, made.reservation.id());
             return;
         }
         gateway.log().call("memory not reserved", call, Map.entry("endpoint", refusing.id()));
@@ -205,7 +206,7 @@
         gateway.waitForPlace(this);
     }
 
-    private void open(Attempt made, List<EndpointState> helpers, String reservation) {
+    private void open(Attempt made, Placement.Send place, String reservation) {
         Endpoint at = made.at.endpoint();
         long leftMs = Math.max(
                 1, TimeUnit.NANOSECONDS.toMillis(deadline - gateway.ticker().nanos()));
@@ -213,13 +214,15 @@
         if (!reservation.isEmpty()) {
             readers.add(new CallForm.Helper(at, reservation));
         }
-        helpers.forEach(h -> readers.add(new CallForm.Helper(h.endpoint(), reservation)));
+        place.helpers().forEach(h -> readers.add(new CallForm.Helper(h.endpoint(), reservation)));
         gateway.log()
                 .call(
                         "sent",
                         call,
                         Map.entry("endpoint", at.id()),
-                        Map.entry("helpers", helpers.size()),
+                        Map.entry("helpers", names(place.helpers())),
+                        Map.entry("planned_first_ms", Math.round(place.firstMs())),
+                        Map.entry("planned_loss", Math.round(place.loss())),
                         Map.entry("reserved", !reservation.isEmpty()),
                         Map.entry("attempt", tried.size()),
                         Map.entry("tokens", demand.promptTokens()),
@@ -230,6 +233,10 @@
                 gateway.loop(), at.address(), CONNECT_TIMEOUT_MS, gateway.form().write(head, body, form), made);
     }
 
+    private static String names(List<EndpointState> helpers) {
+        return helpers.stream().map(h -> h.endpoint().id().value()).collect(Collectors.joining(","));
+    }
+
     private final class Attempt implements CallListener {
         private final EndpointState at;
         private ClientCall call;
--- a/src/main/java/org/jujuberouter/gateway/PeerShare.java
+++ b/src/main/java/org/jujuberouter/gateway/PeerShare.java
@@ -143,6 +143,7 @@
                                 p.holdsSlot(),
                                 p.readMicros() / 1e3,
                                 p.memoryTokens(),
+                                p.objectiveMillis(),
                                 p.gapMillis(),
                                 p.weight()))
                         .toList();
@@ -222,6 +223,7 @@
                                 w.holdsSlot(),
                                 (long) (w.readMs() * 1e3),
                                 w.memoryTokens(),
+                                w.objectiveMs(),
                                 w.gapMs(),
                                 w.weight()))
                         .toList());
--- a/src/main/java/org/jujuberouter/peer/FieldWriter.java
+++ b/src/main/java/org/jujuberouter/peer/FieldWriter.java
@@ -110,11 +110,12 @@
                 type(PeerCodec.WORK_STARTED, 3).text(m.request()).number(m.leftMillis());
                 list("parts", PeerCodec.MAX_PARTS, m.parts());
                 for (WorkPart p : m.parts()) {
-                    out.packArrayHeader(6);
+                    out.packArrayHeader(7);
                     text(p.endpoint());
                     out.packBoolean(p.holdsSlot());
                     number(p.readMicros())
                             .number(p.memoryTokens())
+                            .number(p.objectiveMillis())
                             .number(p.gapMillis())
                             .real(p.weight());
                 }
--- a/src/main/java/org/jujuberouter/peer/PeerCodec.java
+++ b/src/main/java/org/jujuberouter/peer/PeerCodec.java
@@ -187,7 +187,7 @@
                         r -> new WorkStarted(
                                 r.id("request", RequestId::of),
                                 r.number("time left"),
-                                r.list("parts", MAX_PARTS, e -> e.group("part", 6, PeerCodec::workPart))));
+                                r.list("parts", MAX_PARTS, e -> e.group("part", 7, PeerCodec::workPart))));
             case WORK_READ -> body(in, "WorkRead", fields, 1, r -> new WorkRead(r.id("request", RequestId::of)));
             case WORK_ENDED -> body(in, "WorkEnded", fields, 1, r -> new WorkEnded(r.id("request", RequestId::of)));
             case CONTACT_QUERY -> body(in, "ContactQuery", fields, 1, r -> new ContactQuery(r.time()));
@@ -210,6 +210,7 @@
                 r.flag(),
                 r.number("reading time"),
                 r.number("memory"),
+                r.number("objective"),
                 r.number("gap"),
                 r.real("weight"));
     }
--- a/src/main/java/org/jujuberouter/peer/PeerMessage.java
+++ b/src/main/java/org/jujuberouter/peer/PeerMessage.java
@@ -348,6 +348,7 @@
      * @param holdsSlot whether it takes a slot, or only reads a part of the prompt for another endpoint
      * @param readMicros time to read its part of the prompt, in microseconds
      * @param memoryTokens tokens that it holds in the endpoint's memory
+     * @param objectiveMillis time from the start to the first event that counts as on time
      * @param gapMillis longest pause that its stream bears; 0 where it does not stream
      * @param weight what it loses when it is late
      */
@@ -356,6 +357,7 @@
             boolean holdsSlot,
             long readMicros,
             long memoryTokens,
+            long objectiveMillis,
             long gapMillis,
             double weight) {}
 
--- a/src/test/java/org/jujuberouter/dispatch/PlacerTest.java
+++ b/src/test/java/org/jujuberouter/dispatch/PlacerTest.java
@@ -111,7 +111,8 @@
         engines(2);
         for (int i = 0; i < 2; i++) {
             Demand demand = longPrompt(200_000);
-            send(demand);
+            Placement.Send sent = assertInstanceOf(Placement.Send.class, placer.place(demand, SPEC, Set.of(), 10_000));
+            fleet.start(sent.works());
             ticker.advance(Duration.ofSeconds(4));
             fleet.readDone(demand.id());
         }
@@ -127,6 +128,20 @@
         assertEquals(1, send(longPrompt(30_000)).works().size());
     }
 
+    /** Pattern: parts read for later prompts delay a prompt that is being read. */
+    @Test
+    void doesNotReadPartsAheadOfAPromptThatWouldBecomeLate() {
+        engines(6);
+        Demand early = longPrompt(170_000);
+        Placement.Send first = send(early);
+        Set<EndpointId> reading = new HashSet<>();
+        first.works().forEach(w -> reading.add(w.endpoint()));
+        ticker.advance(Duration.ofMillis(100));
+        for (Work w : send(longPrompt(190_000)).works()) {
+            assertFalse(reading.contains(w.endpoint()), "a part is read ahead at " + w.endpoint());
+        }
+    }
+
     /** Pattern: a cold endpoint comes back into a burst. */
     @Test
     void sendsAColdEndpointNoMoreThanItBearsInASecond() {
