--- a/src/main/java/org/jujuberouter/dispatch/EndpointState.java
+++ b/src/main/java/org/jujuberouter/dispatch/EndpointState.java
@@ -15,6 +15,11 @@
     private static final long AVOID_FIRST_MS = 300;
     private static final long AVOID_LAST_MS = 4_000;
     private static final double FAILURE_SHARE_WEIGHT = 0.2;
+    private static final double DELAY_WEIGHT = 0.5;
+
+    /** Time in which a delay that is not seen again counts half, so that the endpoint is tried again. */
+    private static final double DELAY_HALF_LIFE_NANOS = 1.5e9;
+
     private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final EndpointLoad load = new EndpointLoad();
@@ -25,6 +30,8 @@
     private long avoidUntil = Long.MIN_VALUE;
     private int failuresInRow;
     private double failureShare;
+    private double delayMs;
+    private long delaySeenAt;
 
     EndpointState(Endpoint endpoint, long now) {
         this.endpoint = endpoint;
@@ -103,6 +110,22 @@
         avoidUntil = now + TimeUnit.MILLISECONDS.toNanos(avoidMs);
     }
 
+    /**
+     * Notes how much later than planned the first event of a call came, in milliseconds.
+     *
+     * <p>Some engines work on calls whose caller has left, or are slower than their service's model; what they hold is not
+     * seen from here, so the delay of the last calls stands for it.
+     */
+    public void firstEventLate(double millis, long now) {
+        delayMs = delayMs(now) * (1 - DELAY_WEIGHT) + Math.max(0, millis) * DELAY_WEIGHT;
+        delaySeenAt = now;
+    }
+
+    /** Returns the delay that a further call is to expect beyond the plan, in milliseconds. */
+    public double delayMs(long now) {
+        return delayMs * Math.pow(0.5, (now - delaySeenAt) / DELAY_HALF_LIFE_NANOS);
+    }
+
     /** Notes that a peer saw the endpoint fail; one such report alone says little about calls from here. */
     public void failedElsewhere(long now) {
         failureShare += (1 - failureShare) * FAILURE_SHARE_WEIGHT;
--- a/src/main/java/org/jujuberouter/dispatch/Placer.java
+++ b/src/main/java/org/jujuberouter/dispatch/Placer.java
@@ -38,6 +38,9 @@
     /** Part of an engine's memory that may be planned; the newest call is preempted when it runs out. */
     private static final double USABLE_MEMORY = 0.94;
 
+    /** Usual time of a short stream, in which the streams at an engine are replaced by others, in milliseconds. */
+    private static final double USUAL_STREAM_MS = 1_500;
+
     /** Part of an engine's slots that makes one step of crowding. */
     private static final double CROWD_STEP = 0.6;
 
@@ -150,8 +153,9 @@
                 continue;
             }
             double pass = load.passMs(engine, readMs, now);
-            double first = load.firstMs(engine, readMs, now);
-            double harm = load.lateWeight(pass, USABLE_GAP);
+            double first = load.firstMs(engine, readMs, now) + e.delayMs(now);
+            // Calls that arrive during a long reading are delayed like those that are there.
+            double harm = load.lateWeight(pass, USABLE_GAP) * (1 + readMs / USUAL_STREAM_MS);
             if (parts > 1) {
                 harm += load.overtakenWeight(engine, readMs, now);
             }
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -229,6 +229,9 @@
                         Map.entry("waited_ms", (gateway.ticker().nanos() - arrived) / 1_000_000));
         String after = events == null ? "" : events.lastId();
         CallForm.Attempt form = new CallForm.Attempt(at, customer.map(Customer::id), leftMs, after, readers);
+        made.plannedFirstMs =
+                place.firstMs() - place.endpoint().delayMs(gateway.ticker().nanos());
+        made.sentAt = gateway.ticker().nanos();
         made.call = ClientCall.send(
                 gateway.loop(), at.address(), CONNECT_TIMEOUT_MS, gateway.form().write(head, body, form), made);
     }
@@ -241,6 +244,13 @@
         private final EndpointState at;
         private ClientCall call;
         private Reservation reservation;
+        private double plannedFirstMs;
+        private long sentAt;
+
+        /** Returns how much later than planned an event comes that is the first. */
+        private long delayMs(long now) {
+            return Math.max(0, (long) ((now - sentAt) / 1e6 - plannedFirstMs));
+        }
 
         private Attempt(EndpointState at) {
             this.at = at;
@@ -362,7 +372,7 @@
         long now = gateway.ticker().nanos();
         if (firstEventAt == 0) {
             firstEventAt = now;
-            gateway.readDone(call.id());
+            gateway.readDone(call.id(), attempt.at, attempt.delayMs(now));
         } else {
             longestGap = Math.max(longestGap, now - lastEventAt);
         }
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -185,9 +185,11 @@
         share.started(works, leftMs);
     }
 
-    void readDone(RequestId id) {
+    /** Notes the first event of a call, which came later than planned by the given time. */
+    void readDone(RequestId id, EndpointState at, long delayMs) {
         fleet.readDone(id);
-        share.read(id);
+        at.firstEventLate(delayMs, ticker.nanos());
+        share.read(id, at.endpoint().id(), delayMs);
         somethingChanged();
     }
 
@@ -203,8 +205,9 @@
         share.failed(endpoint.endpoint().id());
     }
 
-    void peerRead(RequestId id) {
-        fleet.readDone(id);
+    void peerRead(PeerMessage.WorkRead read) {
+        fleet.readDone(read.request());
+        fleet.find(read.endpoint()).ifPresent(e -> e.firstEventLate(read.delayMillis(), ticker.nanos()));
         somethingChanged();
     }
 
--- a/src/main/java/org/jujuberouter/gateway/PeerShare.java
+++ b/src/main/java/org/jujuberouter/gateway/PeerShare.java
@@ -92,8 +92,8 @@
         network.broadcast(notice(id, leftMs, works));
     }
 
-    void read(RequestId id) {
-        network.broadcast(new PeerMessage.WorkRead(id));
+    void read(RequestId id, EndpointId endpoint, long delayMs) {
+        network.broadcast(new PeerMessage.WorkRead(id, endpoint, delayMs));
     }
 
     void ended(RequestId id) {
@@ -150,7 +150,7 @@
                 others.put(m.request(), new Placed(sender, endsAt(m.leftMillis()), works));
                 gateway.fleet().start(works);
             }
-            case PeerMessage.WorkRead m -> gateway.peerRead(m.request());
+            case PeerMessage.WorkRead m -> gateway.peerRead(m);
             case PeerMessage.WorkEnded m -> forget(m.request());
             case PeerMessage.ContactReport m -> gateway.peerContact(m);
             case PeerMessage.EndpointFailed m ->
--- a/src/main/java/org/jujuberouter/peer/FieldWriter.java
+++ b/src/main/java/org/jujuberouter/peer/FieldWriter.java
@@ -120,7 +120,11 @@
                             .real(p.weight());
                 }
             }
-            case WorkRead m -> type(PeerCodec.WORK_READ, 1).text(m.request());
+            case WorkRead m ->
+                type(PeerCodec.WORK_READ, 3)
+                        .text(m.request())
+                        .text(m.endpoint())
+                        .number(m.delayMillis());
             case WorkEnded m -> type(PeerCodec.WORK_ENDED, 1).text(m.request());
             case ContactQuery m -> type(PeerCodec.CONTACT_QUERY, 1).time(m.askedNanos());
             case ContactReport m ->
--- a/src/main/java/org/jujuberouter/peer/PeerCodec.java
+++ b/src/main/java/org/jujuberouter/peer/PeerCodec.java
@@ -188,7 +188,14 @@
                                 r.id("request", RequestId::of),
                                 r.number("time left"),
                                 r.list("parts", MAX_PARTS, e -> e.group("part", 7, PeerCodec::workPart))));
-            case WORK_READ -> body(in, "WorkRead", fields, 1, r -> new WorkRead(r.id("request", RequestId::of)));
+            case WORK_READ ->
+                body(
+                        in,
+                        "WorkRead",
+                        fields,
+                        3,
+                        r -> new WorkRead(
+                                r.id("request", RequestId::of), r.id("endpoint", EndpointId::of), r.number("delay")));
             case WORK_ENDED -> body(in, "WorkEnded", fields, 1, r -> new WorkEnded(r.id("request", RequestId::of)));
             case CONTACT_QUERY -> body(in, "ContactQuery", fields, 1, r -> new ContactQuery(r.time()));
             case CONTACT_REPORT ->
--- a/src/main/java/org/jujuberouter/peer/PeerMessage.java
+++ b/src/main/java/org/jujuberouter/peer/PeerMessage.java
@@ -361,8 +361,13 @@
             long gapMillis,
             double weight) {}
 
-    /** The prompt of a call has been read. */
-    record WorkRead(RequestId request) implements ShareNotice {}
+    /**
+     * The prompt of a call has been read.
+     *
+     * @param endpoint the endpoint that answers
+     * @param delayMillis how much later than planned the first event came
+     */
+    record WorkRead(RequestId request, EndpointId endpoint, long delayMillis) implements ShareNotice {}
 
     /** A call is no longer at any endpoint. */
     record WorkEnded(RequestId request) implements ShareNotice {}
--- a/src/main/java/org/jujuberouter/peer/PeerSamples.java
+++ b/src/main/java/org/jujuberouter/peer/PeerSamples.java
@@ -81,7 +81,7 @@
                         15_000,
                         Collections.nCopies(
                                 4, new PeerMessage.WorkPart(ENDPOINT, true, 470_000, 133_000, 2_500, 1_000, 11.2))),
-                new PeerMessage.WorkRead(REQUEST),
+                new PeerMessage.WorkRead(REQUEST, ENDPOINT, 12),
                 new PeerMessage.WorkEnded(REQUEST),
                 new PeerMessage.ContactQuery(-7_000_000_000L),
                 new PeerMessage.ContactReport(-7_000_000_000L, 640, 18_233),
--- a/src/test/java/org/jujuberouter/dispatch/PlacerTest.java
+++ b/src/test/java/org/jujuberouter/dispatch/PlacerTest.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.jujuberouter.catalog.Endpoint;
@@ -142,6 +143,33 @@
         }
     }
 
+    /** Pattern: a huge prompt whose parts would stop every engine while short streams write. */
+    @Test
+    void readsAHugePromptOnFewEnginesRatherThanBesideAllShortStreams() {
+        engines(8);
+        for (int i = 0; i < 40; i++) {
+            Demand demand = shortPrompt();
+            fleet.start(List.of(
+                    new Work(demand.id(), EndpointId.of("e" + i % 5), true, 0, 6_376, 300, 250, demand.weight())));
+        }
+        Placement.Send send =
+                assertInstanceOf(Placement.Send.class, placer.place(longPrompt(560_000), SPEC, Set.of(), 10_000));
+        assertEquals(3, send.works().size(), "engines that read it");
+    }
+
+    /** Pattern: an engine that works on calls that nobody here sent, or slower than its model. */
+    @Test
+    void avoidsAnEngineWhoseFirstEventsComeLaterThanPlanned() {
+        engines(3);
+        EndpointId slow = send(shortPrompt()).endpoint().endpoint().id();
+        fleet.find(slow).orElseThrow().firstEventLate(800, ticker.nanos());
+        for (int i = 0; i < 5; i++) {
+            assertFalse(send(shortPrompt()).endpoint().endpoint().id().equals(slow));
+        }
+        ticker.advance(Duration.ofSeconds(8));
+        assertTrue(fleet.find(slow).orElseThrow().delayMs(ticker.nanos()) < 20, "is tried again");
+    }
+
     /** Pattern: a cold endpoint comes back into a burst. */
     @Test
     void sendsAColdEndpointNoMoreThanItBearsInASecond() {
