Start from a class-data archive that the build records with a training run against stand-ins

Cause: after a restart an instance took 2.3 s of its 0.75 core to reach the store, and its first calls were late.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,10 +1,17 @@
 #!/bin/sh
-# Builds the binary and a runtime image of JDK 25 under target/, so that machines need no Java.
+# Builds the binary, a runtime image of JDK 25, so that machines need no Java, and a cache of the classes that an instance
+# loads, so that one that is started again serves sooner.
 root=$(cd "$(dirname "$0")/.." && pwd) || exit 70
 . "$root/jdk.sh"
 find_jdk || exit 69
 cd "$root" || exit 70
+jar=target/jujuberouter-0.1.0-all.jar
 mvn -B -q -DskipTests -Dcheckstyle.skip -Dspotless.check.skip package || exit 1
-rm -rf target/runtime
-"$JAVA_HOME/bin/jlink" --add-modules java.base,java.logging,java.management,jdk.unsupported,java.xml,java.sql \
-    --strip-debug --no-header-files --no-man-pages --output target/runtime || exit 1
+rm -rf target/runtime target/gateway.jsa
+"$JAVA_HOME/bin/jlink" --generate-cds-archive --strip-debug --no-header-files --no-man-pages --output target/runtime \
+    --add-modules java.base,java.logging,java.management,java.net.http,java.sql,java.xml,jdk.httpserver,jdk.unsupported \
+    || exit 1
+target/runtime/bin/java -XX:ArchiveClassesAtExit=target/gateway.jsa -Xmx160m -Xss256k -XX:+UseSerialGC \
+    -XX:TieredStopAtLevel=1 -Djdk.httpclient.allowRestrictedHeaders=host \
+    -cp $jar org.jujuberouter.cli.Main train > target/train.log 2>&1 \
+    || { echo "the training run failed; see target/train.log" >&2; exit 1; }
--- a/src/main/java/org/jujuberouter/cli/Main.java
+++ b/src/main/java/org/jujuberouter/cli/Main.java
@@ -14,7 +14,8 @@
             EntryCommand.class,
             ExperimentCommand.class,
             MeasureHopCommand.class,
-            ServeCommand.class
+            ServeCommand.class,
+            TrainCommand.class
         },
         description = "Serves prompts of a thousand to a million tokens through many endpoints.")
 public final class Main implements Callable<Integer> {
--- /dev/null
+++ b/src/main/java/org/jujuberouter/cli/TrainCommand.java
@@ -0,0 +1,59 @@
+package org.jujuberouter.cli;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import org.jujuberouter.gateway.GatewayDaemon;
+import org.jujuberouter.platform.NodeFile;
+import org.jujuberouter.platform.UsersPlatform;
+import org.jujuberouter.platform.standin.StandinSite;
+import picocli.CommandLine.Command;
+
+/** Serves some calls of stand-ins in one process, so that the build can record which classes an instance needs. */
+@Command(
+        name = "train",
+        hidden = true,
+        description = "Serves some calls of stand-ins and ends; used by the build to record a cache of classes.")
+public final class TrainCommand implements Callable<Integer> {
+    private static final int ROUNDS = 40;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        LogSetup.install(LogSetup.LogLevel.INFO);
+        Path file = Files.createTempFile("node", ".json");
+        Path other = Files.createTempFile("node", ".json");
+        try (StandinSite site = StandinSite.start(3, 2, 1);
+                HttpClient client = HttpClient.newHttpClient()) {
+            InetSocketAddress front = site.writeNodeFile(file, "a");
+            site.writeNodeFile(other, "b");
+            GatewayDaemon first = GatewayDaemon.start(NodeFile.read(file), UsersPlatform.create());
+            GatewayDaemon second = GatewayDaemon.start(NodeFile.read(other), UsersPlatform.create());
+            URI base = URI.create("http://127.0.0.1:" + front.getPort());
+            Thread.sleep(500);
+            for (int i = 0; i < ROUNDS; i++) {
+                for (String path : new String[] {"/chat/stream", "/post/x", "/read/x", "/none/x"}) {
+                    send(client, base.resolve(path), i + path);
+                }
+            }
+            first.close();
+            second.close();
+        } finally {
+            Files.delete(file);
+            Files.delete(other);
+        }
+        return 0;
+    }
+
+    private static void send(HttpClient client, URI uri, String id) throws IOException, InterruptedException {
+        HttpRequest request = StandinSite.request(uri, id)
+                .POST(HttpRequest.BodyPublishers.ofString("x".repeat(1_000)))
+                .build();
+        client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+}
--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -10,6 +10,8 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
@@ -53,6 +55,8 @@
 
     /** Starts an instance. */
     public static GatewayDaemon start(GatewayOptions options, OutsideWorld outside) throws IOException {
+        // Netty would pick a logging library by what is on the class path.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         GatewayDaemon daemon = new GatewayDaemon(options, outside);
         StoreFeed feed = StoreFeed.of(daemon.store, daemon.loop, daemon.gateway.ticker(), daemon.gateway);
         daemon.gateway.attach(PeerShare.start(daemon.gateway, daemon.loop, daemon.gateway.ticker(), options));
--- /dev/null
+++ b/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
@@ -0,0 +1,184 @@
+package org.jujuberouter.platform.standin;
+
+import com.sun.net.httpserver.Headers;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.jujuberouter.misc.Json;
+
+/**
+ * An engine, or the server of a plain service, that answers with a fixed number of events or a short body.
+ *
+ * <p>The path decides what it answers: one that ends with {@code /stream} gets events, any other a body.
+ */
+public final class EngineStandin implements AutoCloseable {
+    /** What it does with a request. */
+    public enum Behaviour {
+        /** Answers it. */
+        ANSWER,
+        /** Says that it has no room. */
+        REFUSE,
+        /** Runs it and breaks the connection off without a word, or in the middle of an event. */
+        BREAK,
+        /** Runs it and answers nothing for a long time. */
+        HANG
+    }
+
+    private static final int EVENTS = 6;
+    private static final int EVENTS_BEFORE_BREAK = 3;
+    private static final long HANG_MS = 20_000;
+
+    private final String id;
+    private final HttpServer server;
+    private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+    private final List<String> runs = new CopyOnWriteArrayList<>();
+    private final List<String> orders = new CopyOnWriteArrayList<>();
+    private final AtomicInteger abandoned = new AtomicInteger();
+    private final long eventGapMs;
+    private volatile Behaviour behaviour = Behaviour.ANSWER;
+
+    private EngineStandin(String id, HttpServer server, long eventGapMs) {
+        this.id = id;
+        this.server = server;
+        this.eventGapMs = eventGapMs;
+    }
+
+    /** Starts an engine on a free loopback port. */
+    public static EngineStandin start(String id, long eventGapMs) throws IOException {
+        EngineStandin made = new EngineStandin(
+                id, HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0), eventGapMs);
+        made.server.createContext("/", made::serve);
+        made.server.setExecutor(made.executor);
+        made.server.start();
+        return made;
+    }
+
+    /** Sets what it does from now on. */
+    public void setBehaviour(Behaviour newBehaviour) {
+        behaviour = newBehaviour;
+    }
+
+    /** Returns its id. */
+    public String id() {
+        return id;
+    }
+
+    /** Returns the ids of the requests that it ran, in order. */
+    public List<String> runs() {
+        return List.copyOf(runs);
+    }
+
+    /** Returns the orders that it got, in order. */
+    public List<String> orders() {
+        return List.copyOf(orders);
+    }
+
+    /** Returns the requests whose connection was closed while it answered them. */
+    public int abandoned() {
+        return abandoned.get();
+    }
+
+    /** Returns the registration that it would write to the store. */
+    public String entry(String service, String zone, String state) {
+        return Json.MAPPER
+                .createObjectNode()
+                .put("Service", service)
+                .put("Address", "127.0.0.1:" + server.getAddress().getPort())
+                .put("Zone", zone)
+                .put("Slots", 8)
+                .put("State", state)
+                .put("ColdRemainingMs", 0)
+                .put("Sequence", 1)
+                .toString();
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+        executor.shutdownNow();
+    }
+
+    private void serve(HttpExchange call) throws IOException {
+        byte[] body = call.getRequestBody().readAllBytes();
+        if (call.getRequestURI().getPath().equals("/v1/order")) {
+            orders.add(new String(body, StandardCharsets.UTF_8));
+            reply(call, 200, "{\"Unallocated\":0}");
+            return;
+        }
+        Headers in = call.getRequestHeaders();
+        Headers out = call.getResponseHeaders();
+        out.set("X-Jujuberouter-Attempt-Id", in.getFirst("X-Jujuberouter-Attempt-Id"));
+        if (!id.equals(in.getFirst("X-Jujuberouter-Expect-Instance"))) {
+            reply(call, 421, "");
+            return;
+        }
+        if (behaviour == Behaviour.REFUSE) {
+            out.set("X-Jujuberouter-Not-Executed", "1");
+            reply(call, 503, "");
+            return;
+        }
+        runs.add(in.getFirst("X-Jujuberouter-Attempt-Id"));
+        out.set("X-Jujuberouter-Response-Signature", "signed-" + id);
+        if (behaviour == Behaviour.HANG) {
+            pause(HANG_MS);
+        }
+        if (call.getRequestURI().getPath().endsWith("/stream")) {
+            stream(call, in.getFirst("Last-Event-Id"));
+        } else if (behaviour == Behaviour.BREAK) {
+            // Closing without an answer breaks the connection off.
+            call.close();
+        } else {
+            reply(call, 200, "done by " + id);
+        }
+    }
+
+    private void stream(HttpExchange call, String after) throws IOException {
+        int first = after == null ? 1 : Integer.parseInt(after) + 1;
+        call.getResponseHeaders().set("Content-Type", "text/event-stream");
+        call.sendResponseHeaders(200, 0);
+        OutputStream out = call.getResponseBody();
+        try {
+            for (int i = first; i <= EVENTS; i++) {
+                if (behaviour == Behaviour.BREAK && i == first + EVENTS_BEFORE_BREAK) {
+                    out.write(("id: " + i + "\nda").getBytes(StandardCharsets.UTF_8));
+                    out.flush();
+                    // Ends the connection without the end mark of a whole answer.
+                    throw new IOException("broken off as told");
+                }
+                out.write(("id: " + i + "\ndata: " + i + "\n\n").getBytes(StandardCharsets.UTF_8));
+                out.flush();
+                pause(eventGapMs);
+            }
+            call.close();
+        } catch (IOException e) {
+            abandoned.incrementAndGet();
+            throw e;
+        }
+    }
+
+    private static void reply(HttpExchange call, int status, String text) throws IOException {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        call.sendResponseHeaders(status, bytes.length == 0 ? -1 : bytes.length);
+        if (bytes.length > 0) {
+            call.getResponseBody().write(bytes);
+        }
+        call.close();
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/platform/standin/KvStandin.java
@@ -0,0 +1,255 @@
+package org.jujuberouter.platform.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.jujuberouter.misc.Json;
+
+/** The platform's key-value store in the memory of this process; leases are granted and do not lapse by themselves. */
+public final class KvStandin implements AutoCloseable {
+    /** How the store answers. */
+    public enum Mode {
+        SERVING,
+        UNAVAILABLE,
+        SILENT
+    }
+
+    private static final int MAX_HISTORY = 10_000;
+    private static final long SILENCE_MS = 30_000;
+
+    private final Object lock = new Object();
+    private final TreeMap<String, ObjectNode> items = new TreeMap<>();
+    private final List<ObjectNode> history = new ArrayList<>();
+    private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
+    private final HttpServer server;
+    private long revision = 1;
+    private long leases;
+    private long forgottenUpTo;
+    private volatile Mode mode = Mode.SERVING;
+
+    private KvStandin(HttpServer server) {
+        this.server = server;
+    }
+
+    /** Starts an empty store on a free loopback port. */
+    public static KvStandin start() throws IOException {
+        KvStandin made =
+                new KvStandin(HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0));
+        made.server.createContext("/", made::serve);
+        made.server.setExecutor(made.executor);
+        made.server.start();
+        return made;
+    }
+
+    /** Returns where the store listens. */
+    public InetSocketAddress address() {
+        return server.getAddress();
+    }
+
+    /** Sets how the store answers from now on. */
+    public void setMode(Mode newMode) {
+        mode = newMode;
+        synchronized (lock) {
+            lock.notifyAll();
+        }
+    }
+
+    /** Writes a value as the operator or an endpoint would. */
+    public void put(String key, String value) {
+        synchronized (lock) {
+            write(key, value.getBytes(StandardCharsets.UTF_8), 0);
+        }
+    }
+
+    /** Deletes a key. */
+    public void remove(String key) {
+        synchronized (lock) {
+            delete(key);
+        }
+    }
+
+    /** Drops the history, so that watches that are behind get 410. */
+    public void forgetHistory() {
+        synchronized (lock) {
+            forgottenUpTo = revision;
+            history.clear();
+            lock.notifyAll();
+        }
+    }
+
+    /** Returns the keys that start with the prefix. */
+    public List<String> keys(String prefix) {
+        synchronized (lock) {
+            return items.keySet().stream().filter(k -> k.startsWith(prefix)).toList();
+        }
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+        executor.shutdownNow();
+    }
+
+    private void serve(HttpExchange call) throws IOException {
+        try (call) {
+            JsonNode body = readBody(call);
+            if (mode == Mode.SILENT) {
+                Thread.sleep(SILENCE_MS);
+                return;
+            }
+            ObjectNode reply = Json.MAPPER.createObjectNode();
+            int status = mode == Mode.UNAVAILABLE ? 503 : answer(call, body, reply);
+            byte[] bytes = reply.toString().getBytes(StandardCharsets.UTF_8);
+            call.getResponseHeaders().set("Content-Type", "application/json");
+            call.sendResponseHeaders(status, bytes.length);
+            call.getResponseBody().write(bytes);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static JsonNode readBody(HttpExchange call) throws IOException {
+        byte[] body = call.getRequestBody().readAllBytes();
+        return body.length == 0 ? Json.MAPPER.createObjectNode() : Json.MAPPER.readTree(body);
+    }
+
+    private int answer(HttpExchange call, JsonNode body, ObjectNode reply) throws InterruptedException {
+        String path = call.getRequestURI().getPath();
+        Map<String, String> query = query(call.getRequestURI().getRawQuery());
+        synchronized (lock) {
+            return switch (path) {
+                case "/v1/kv-range" -> range(query, reply);
+                case "/v1/kv-watch" -> watch(query, reply);
+                case "/v1/kv-txn" -> change(body, reply);
+                case "/v1/kv-lease" -> {
+                    reply.put("Lease", ++leases).put("TtlMs", body.path("TtlMs").asLong());
+                    yield 200;
+                }
+                default -> lease(path);
+            };
+        }
+    }
+
+    private int lease(String path) {
+        if (path.startsWith("/v1/kv-keep/")) {
+            return 200;
+        }
+        if (!path.startsWith("/v1/kv-lease-end/")) {
+            return 404;
+        }
+        long lease = Long.parseLong(path.substring("/v1/kv-lease-end/".length()));
+        List<String> held = items.entrySet().stream()
+                .filter(e -> e.getValue().path("Lease").asLong() == lease)
+                .map(Map.Entry::getKey)
+                .toList();
+        held.forEach(this::delete);
+        return 200;
+    }
+
+    private int range(Map<String, String> query, ObjectNode reply) {
+        ArrayNode found = reply.putArray("Items");
+        items.tailMap(query.getOrDefault("After", ""), false).forEach((key, item) -> {
+            if (key.startsWith(query.getOrDefault("Prefix", ""))) {
+                found.add(item);
+            }
+        });
+        reply.put("HasMore", false).put("At", revision);
+        return 200;
+    }
+
+    private int watch(Map<String, String> query, ObjectNode reply) throws InterruptedException {
+        long after = Long.parseLong(query.get("After"));
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Long.parseLong(query.get("WaitMs")));
+        ArrayNode events = reply.putArray("events");
+        while (true) {
+            if (after < forgottenUpTo) {
+                return 410;
+            }
+            for (ObjectNode e : history) {
+                if (e.path("Rev").asLong() > after && e.path("Key").asText().startsWith(query.get("Prefix"))) {
+                    events.add(e);
+                }
+            }
+            long leftMs = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime());
+            if (!events.isEmpty() || leftMs <= 0) {
+                reply.put("At", revision);
+                return mode == Mode.SERVING ? 200 : 503;
+            }
+            lock.wait(leftMs);
+        }
+    }
+
+    private int change(JsonNode body, ObjectNode reply) {
+        for (JsonNode row : body.path("Expected")) {
+            ObjectNode item = items.get(row.path("Key").asText());
+            long current = item == null ? 0 : item.path("Rev").asLong();
+            if (current != row.path("Rev").asLong()) {
+                return 412;
+            }
+        }
+        for (JsonNode put : body.path("Puts")) {
+            write(
+                    put.path("Key").asText(),
+                    Base64.getDecoder().decode(put.path("Value").asText()),
+                    put.path("Lease").asLong());
+        }
+        body.path("Delete").forEach(k -> delete(k.asText()));
+        reply.put("Rev", revision);
+        return 200;
+    }
+
+    private void write(String key, byte[] value, long lease) {
+        revision++;
+        ObjectNode item = Json.MAPPER.createObjectNode();
+        item.put("Key", key)
+                .put("Value", Base64.getEncoder().encodeToString(value))
+                .put("Rev", revision)
+                .put("Lease", lease);
+        items.put(key, item);
+        note(item);
+    }
+
+    private void delete(String key) {
+        if (items.remove(key) != null) {
+            revision++;
+            note(Json.MAPPER
+                    .createObjectNode()
+                    .put("Key", key)
+                    .put("Rev", revision)
+                    .put("Removed", true));
+        }
+    }
+
+    private void note(ObjectNode event) {
+        history.add(event);
+        if (history.size() > MAX_HISTORY) {
+            forgottenUpTo = history.removeFirst().path("Rev").asLong();
+        }
+        lock.notifyAll();
+    }
+
+    private static Map<String, String> query(String raw) {
+        Map<String, String> values = new HashMap<>();
+        for (String pair : raw == null ? new String[0] : raw.split("&")) {
+            int at = pair.indexOf('=');
+            values.put(pair.substring(0, at), URLDecoder.decode(pair.substring(at + 1), StandardCharsets.UTF_8));
+        }
+        return values;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/jujuberouter/platform/standin/StandinSite.java
@@ -0,0 +1,159 @@
+package org.jujuberouter.platform.standin;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.jujuberouter.misc.Json;
+
+/** A deployment in one process: a store with a configuration, engines, a ledger, and settings files for instances. */
+public final class StandinSite implements AutoCloseable {
+    /** The host of all routes. */
+    public static final String HOST = "site.example";
+
+    /** A key that the configuration holds. */
+    public static final String KEY = "key-of-the-first-customer";
+
+    private static final String ENGINES = "assistant";
+    private static final String LEDGERS = "ledger";
+
+    private final KvStandin store;
+    private final List<EngineStandin> engines = new ArrayList<>();
+    private final List<EngineStandin> ledgers = new ArrayList<>();
+    private long version;
+
+    private StandinSite(KvStandin store) {
+        this.store = store;
+    }
+
+    /** Starts a site with the given numbers of engines and ledgers. */
+    public static StandinSite start(int engineCount, int ledgerCount, long eventGapMs) throws IOException {
+        StandinSite site = new StandinSite(KvStandin.start());
+        for (int i = 0; i < engineCount; i++) {
+            site.engines.add(EngineStandin.start("engine-" + i, eventGapMs));
+        }
+        for (int i = 0; i < ledgerCount; i++) {
+            site.ledgers.add(EngineStandin.start("ledger-" + i, eventGapMs));
+        }
+        site.configure(true);
+        site.engines.forEach(e -> site.register(e, ENGINES, "ready"));
+        site.ledgers.forEach(e -> site.register(e, LEDGERS, "ready"));
+        return site;
+    }
+
+    /** Returns the store. */
+    public KvStandin store() {
+        return store;
+    }
+
+    /** Returns the engines. */
+    public List<EngineStandin> engines() {
+        return List.copyOf(engines);
+    }
+
+    /** Returns the servers of the plain service. */
+    public List<EngineStandin> ledgers() {
+        return List.copyOf(ledgers);
+    }
+
+    /** Writes a new version of the configuration, with or without the customer's key. */
+    public void configure(boolean withKey) {
+        ObjectNode config = Json.MAPPER.createObjectNode().put("Version", ++version);
+        ArrayNode routes = config.putArray("Routes");
+        route(routes, "/chat/", "streaming", ENGINES).put("StreamResume", true).put("TargetGapMs", 250);
+        route(routes, "/post/", "non_idempotent", LEDGERS).put("MaxAttempts", 1);
+        route(routes, "/read/", "idempotent", LEDGERS);
+        ArrayNode services = config.putArray("Services");
+        services.addObject()
+                .put("Name", ENGINES)
+                .put("HealthCheck", "/health")
+                .set(
+                        "Engine",
+                        Json.MAPPER
+                                .createObjectNode()
+                                .put("Slots", 8)
+                                .put("KvCapacityTokens", 200_000)
+                                .put("Stride", 40)
+                                .put("step_ms", 1.0)
+                                .put("read_per_s", 200_000.0)
+                                .put("pairs_per_m", 0.1)
+                                .put("chunk", 2_048));
+        services.addObject().put("Name", LEDGERS).put("HealthCheck", "/health");
+        config.putObject("Limits")
+                .put("MaxHeaderBytes", 16_384)
+                .put("MaxBodyBytes", 1 << 20)
+                .put("HeaderTimeoutMs", 1_000)
+                .put("IdleTimeoutMs", 5_000);
+        ArrayNode customers = config.putArray("Tenants");
+        customers.addObject().put("Name", "other").putArray("ApiKeys").add("another-key");
+        customers.addObject().put("Name", "first").putArray("ApiKeys").add(withKey ? KEY : "its-second-key");
+        store.put("op/config", config.toString());
+    }
+
+    /** Writes the registration of an engine again, in another state. */
+    public void register(EngineStandin engine, String service, String state) {
+        store.put("servers/" + engine.id(), engine.entry(service, "north", state));
+    }
+
+    /** Takes an engine of the assistant out, as one that drains. */
+    public void drain(EngineStandin engine) {
+        register(engine, ENGINES, "draining");
+    }
+
+    /** Writes the settings file of an instance on free loopback ports and returns the address for callers. */
+    public InetSocketAddress writeNodeFile(Path file, String name) throws IOException {
+        int front = freePort();
+        ObjectNode node = Json.MAPPER.createObjectNode();
+        node.put("Node", name).put("Zone", "north").put("Region", "here");
+        node.putObject("Listen").put("Front", "127.0.0.1:" + front).put("Readiness", "127.0.0.1:" + freePort());
+        int peers = freePort();
+        node.putArray("PortRange").add(peers).add(peers);
+        node.putObject("Platform").put("Address", "127.0.0.1:" + store.address().getPort());
+        node.putObject("Bounds").put("RevokeMs", 5_000).put("GraceS", 8).put("RetryBudgetRatio", 0.2);
+        Files.writeString(file, node.toString());
+        return new InetSocketAddress("127.0.0.1", front);
+    }
+
+    /** Returns a request of a caller with the customer's key, under the given attempt id. */
+    public static HttpRequest.Builder request(URI uri, String id) {
+        return HttpRequest.newBuilder(uri)
+                .header("Host", HOST)
+                .header("X-Jujuberouter-Attempt-Id", id)
+                .header("X-Jujuberouter-Deadline-Ms", "4000")
+                .header("X-Jujuberouter-Token-Usage", "1000,100")
+                .header("Authorization", "Bearer " + KEY);
+    }
+
+    @Override
+    public void close() {
+        engines.forEach(EngineStandin::close);
+        ledgers.forEach(EngineStandin::close);
+        store.close();
+    }
+
+    private static ObjectNode route(ArrayNode routes, String prefix, String type, String service) {
+        return routes.addObject()
+                .put("Name", "route" + prefix)
+                .put("Host", HOST)
+                .put("Prefix", prefix)
+                .put("Type", type)
+                .put("TimeoutMs", 5_000)
+                .put("TargetLatencyMs", 1_000)
+                .put("Priority", 1)
+                .put("Service", service)
+                .put("MaxAttempts", 3);
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+}
