--- /dev/null
+++ b/src/test/java/org/jujuberouter/gateway/GatewayTest.java
@@ -0,0 +1,345 @@
+package org.jujuberouter.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.jujuberouter.platform.NodeFile;
+import org.jujuberouter.platform.UsersPlatform;
+import org.jujuberouter.platform.standin.EngineStandin;
+import org.jujuberouter.platform.standin.EngineStandin.Behaviour;
+import org.jujuberouter.platform.standin.KvStandin;
+import org.jujuberouter.platform.standin.StandinSite;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Runs instances over the adapter against stand-ins of the platform's store and engines, and causes failures. */
+class GatewayTest {
+    private static final String ALL_EVENTS = events(1, 6);
+
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(2))
+            .build();
+    private final List<GatewayDaemon> daemons = new ArrayList<>();
+    private StandinSite site;
+    private InetSocketAddress front;
+    private URI base;
+    private int calls;
+
+    @TempDir
+    private Path files;
+
+    @BeforeAll
+    static void allowHostHeader() {
+        // Read once, when the first client is made.
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+    }
+
+    @BeforeEach
+    void startSite() throws Exception {
+        site = StandinSite.start(3, 2, 20);
+        front = startInstance("first");
+        base = URI.create("http://127.0.0.1:" + front.getPort());
+        await(() -> send("/read/x").statusCode() == 200);
+    }
+
+    @AfterEach
+    void stopSite() {
+        client.close();
+        site.close();
+    }
+
+    private InetSocketAddress startInstance(String name) throws IOException {
+        Path file = files.resolve(name + ".json");
+        InetSocketAddress address = site.writeNodeFile(file, name);
+        daemons.add(GatewayDaemon.start(NodeFile.read(file), UsersPlatform.create()));
+        return address;
+    }
+
+    private HttpResponse<String> send(String path) {
+        return send(path, "call-" + calls++);
+    }
+
+    private HttpResponse<String> send(String path, String id) {
+        HttpRequest request = StandinSite.request(base.resolve(path), id)
+                .POST(HttpRequest.BodyPublishers.ofString("the body"))
+                .build();
+        try {
+            return client.send(request, HttpResponse.BodyHandlers.ofString());
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static String events(int from, int to) {
+        StringBuilder all = new StringBuilder();
+        for (int i = from; i <= to; i++) {
+            all.append("id: ").append(i).append("\ndata: ").append(i).append("\n\n");
+        }
+        return all.toString();
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + Duration.ofSeconds(10).toNanos();
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, "the condition did not come true in 10 s");
+            Thread.sleep(20);
+        }
+    }
+
+    private long runs(String id) {
+        long engines = site.engines().stream()
+                .mapToLong(e -> e.runs().stream().filter(id::equals).count())
+                .sum();
+        return engines
+                + site.ledgers().stream()
+                        .mapToLong(e -> e.runs().stream().filter(id::equals).count())
+                        .sum();
+    }
+
+    @Test
+    void passesAStreamOnWholeWithItsSignature() {
+        HttpResponse<String> answer = send("/chat/stream");
+        assertEquals(200, answer.statusCode());
+        assertEquals(ALL_EVENTS, answer.body());
+        assertTrue(
+                answer.headers().firstValue("X-Jujuberouter-Response-Signature").isPresent());
+    }
+
+    @Test
+    void goesOnAtAnotherEngineAfterTheLastWholeEvent() {
+        site.engines().get(0).setBehaviour(Behaviour.BREAK);
+        site.engines().get(1).setBehaviour(Behaviour.BREAK);
+        for (int i = 0; i < 4; i++) {
+            assertEquals(ALL_EVENTS, send("/chat/stream").body());
+        }
+    }
+
+    @Test
+    void endsTheConnectionWhenAStreamCannotGoOn() {
+        site.engines().forEach(e -> e.setBehaviour(Behaviour.BREAK));
+        // Each attempt brings three more events, so only a fourth attempt would finish; three are allowed.
+        site.engines().get(0).setBehaviour(Behaviour.REFUSE);
+        site.engines().get(1).setBehaviour(Behaviour.REFUSE);
+        assertThrows(java.io.UncheckedIOException.class, () -> send("/chat/stream"));
+    }
+
+    @Test
+    void runsANonIdempotentCallOnceWhenItsAnswerIsLostAndDoesNotCallItNotRun() {
+        site.ledgers().forEach(e -> e.setBehaviour(Behaviour.BREAK));
+        HttpResponse<String> answer = send("/post/x", "credit-1");
+        assertEquals(502, answer.statusCode());
+        assertEquals(1, runs("credit-1"));
+    }
+
+    @Test
+    void refusesWithATimeToComeBackWhenNoEndpointRanTheCall() {
+        site.ledgers().forEach(e -> e.setBehaviour(Behaviour.REFUSE));
+        HttpResponse<String> answer = send("/post/x", "credit-2");
+        assertEquals(503, answer.statusCode());
+        assertTrue(answer.headers().firstValue("Retry-After").isPresent());
+        assertEquals(0, runs("credit-2"));
+    }
+
+    @Test
+    void repeatsAnIdempotentCallAtAnotherEndpoint() {
+        site.ledgers().get(0).setBehaviour(Behaviour.BREAK);
+        for (int i = 0; i < 6; i++) {
+            assertEquals(200, send("/read/x").statusCode());
+        }
+    }
+
+    @Test
+    void refusesAKeyThatWasWithdrawn() throws Exception {
+        site.configure(false);
+        await(() -> send("/read/x").statusCode() == 401);
+    }
+
+    @Test
+    void honoursNoKeyWhenTheStoreHasBeenSilentForTheBound() throws Exception {
+        site.store().setMode(KvStandin.Mode.SILENT);
+        long since = System.nanoTime();
+        await(() -> send("/read/x").statusCode() == 503);
+        assertTrue(System.nanoTime() - since < Duration.ofMillis(5_000).toNanos());
+        site.store().setMode(KvStandin.Mode.SERVING);
+        await(() -> send("/read/x").statusCode() == 200);
+    }
+
+    @Test
+    void readsTheStateAgainWhenTheStoreHasLostItsHistory() throws Exception {
+        site.store().setMode(KvStandin.Mode.UNAVAILABLE);
+        Thread.sleep(300);
+        site.configure(false);
+        site.store().forgetHistory();
+        site.store().setMode(KvStandin.Mode.SERVING);
+        await(() -> send("/read/x").statusCode() == 401);
+    }
+
+    @Test
+    void ignoresEntriesThatCannotBeReadAndKeepsTheOthers() {
+        site.store().put("servers/broken", "{\"Service\":7");
+        site.store().put("servers/odd", "{\"Service\":\"ledger\",\"Address\":\"nowhere\",\"Slots\":\"many\"}");
+        site.store().put("op/config", "not a configuration");
+        assertEquals(200, send("/read/x").statusCode());
+    }
+
+    @Test
+    void sendsNothingToAnEngineThatDrains() throws Exception {
+        EngineStandin leaving = site.engines().get(0);
+        site.drain(leaving);
+        Thread.sleep(300);
+        int before = leaving.runs().size();
+        for (int i = 0; i < 8; i++) {
+            assertEquals(200, send("/chat/stream").statusCode());
+        }
+        assertEquals(before, leaving.runs().size());
+    }
+
+    @Test
+    void tellsTheEngineAtOnceWhenTheCallerHasLeft() throws Exception {
+        site.ledgers().forEach(e -> e.setBehaviour(Behaviour.HANG));
+        try (Socket socket = new Socket(front.getAddress(), front.getPort())) {
+            write(socket, "GET /read/x HTTP/1.1\r\n" + callHeaders("left-1") + "\r\n");
+            await(() -> runs("left-1") == 1);
+        }
+        // The engine's place is free again, which only the end of the call there shows from outside.
+        site.ledgers().forEach(e -> e.setBehaviour(Behaviour.ANSWER));
+        assertEquals(200, send("/read/x").statusCode());
+        assertEquals(1, runs("left-1"));
+    }
+
+    @Test
+    void endsAHangingCallAtItsDeadlineWithoutCallingItNotRun() {
+        site.ledgers().forEach(e -> e.setBehaviour(Behaviour.HANG));
+        HttpRequest request = StandinSite.request(base.resolve("/post/x"), "late-1")
+                .setHeader("X-Jujuberouter-Deadline-Ms", "600")
+                .POST(HttpRequest.BodyPublishers.ofString("x"))
+                .build();
+        long since = System.nanoTime();
+        int status = client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+                .join()
+                .statusCode();
+        assertEquals(504, status);
+        assertTrue(System.nanoTime() - since < Duration.ofMillis(1_000).toNanos());
+    }
+
+    @Test
+    void finishesOpenStreamsWhenItIsToldToStop() throws Exception {
+        CompletableFuture<HttpResponse<String>> open = CompletableFuture.supplyAsync(() -> send("/chat/stream"));
+        await(() -> site.engines().stream().anyMatch(e -> !e.runs().isEmpty()));
+        daemons.getFirst().close();
+        assertEquals(ALL_EVENTS, open.join().body());
+        assertThrows(java.io.UncheckedIOException.class, () -> send("/read/x"));
+    }
+
+    @Test
+    void keepsServingOnOneConnectionAndAnswersRequestsThatAreTooLarge() throws Exception {
+        try (Socket socket = new Socket(front.getAddress(), front.getPort())) {
+            for (int i = 0; i < 3; i++) {
+                write(socket, "GET /read/x HTTP/1.1\r\n" + callHeaders("kept-" + i) + "\r\n");
+                assertEquals("HTTP/1.1 200 OK", readLine(socket));
+                readAnswer(socket);
+            }
+            write(socket, "GET /read/x HTTP/1.1\r\nX-Long: " + "x".repeat(20_000) + "\r\n\r\n");
+            assertTrue(readLine(socket).startsWith("HTTP/1.1 431"));
+        }
+        try (Socket socket = new Socket(front.getAddress(), front.getPort())) {
+            write(socket, "POST /read/x HTTP/1.1\r\n" + callHeaders("large") + "Content-Length: 9000000\r\n\r\n");
+            assertTrue(readLine(socket).startsWith("HTTP/1.1 413"));
+        }
+        try (Socket socket = new Socket(front.getAddress(), front.getPort())) {
+            write(socket, "POST /read/x HTTP/1.1\r\n" + callHeaders("slow") + "Content-Length: 10\r\n\r\n1");
+            assertTrue(readLine(socket).startsWith("HTTP/1.1 408"));
+        }
+    }
+
+    @Test
+    void countsTheWorkOfAPeer() throws Exception {
+        InetSocketAddress second = startInstance("second");
+        URI other = URI.create("http://127.0.0.1:" + second.getPort());
+        HttpRequest warm = StandinSite.request(other.resolve("/read/x"), "warm")
+                .POST(HttpRequest.BodyPublishers.ofString("x"))
+                .build();
+        await(() -> client.sendAsync(warm, HttpResponse.BodyHandlers.discarding())
+                        .join()
+                        .statusCode()
+                == 200);
+        // Two ledgers: whichever instance a call comes to, it goes to the one that no other call hangs at.
+        site.ledgers().forEach(e -> e.setBehaviour(Behaviour.HANG));
+        CompletableFuture<HttpResponse<String>> hanging =
+                CompletableFuture.supplyAsync(() -> send("/read/x", "hanging"));
+        await(() -> runs("hanging") == 1);
+        site.ledgers().forEach(e -> e.setBehaviour(Behaviour.ANSWER));
+        EngineStandin busy = site.ledgers().stream()
+                .filter(e -> e.runs().contains("hanging"))
+                .findFirst()
+                .orElseThrow();
+        HttpRequest next = StandinSite.request(other.resolve("/read/x"), "next")
+                .POST(HttpRequest.BodyPublishers.ofString("x"))
+                .build();
+        assertEquals(
+                200,
+                client.sendAsync(next, HttpResponse.BodyHandlers.discarding())
+                        .join()
+                        .statusCode());
+        assertFalse(busy.runs().contains("next"));
+        hanging.join();
+    }
+
+    private static String callHeaders(String id) {
+        return "Host: " + StandinSite.HOST + "\r\nX-Jujuberouter-Attempt-Id: " + id
+                + "\r\nX-Jujuberouter-Deadline-Ms: 4000\r\nAuthorization: Bearer " + StandinSite.KEY + "\r\n";
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        out.write(text.getBytes(StandardCharsets.US_ASCII));
+        out.flush();
+    }
+
+    private static String readLine(Socket socket) throws IOException {
+        socket.setSoTimeout(5_000);
+        StringBuilder line = new StringBuilder();
+        int b;
+        while ((b = socket.getInputStream().read()) != '\n' && b >= 0) {
+            if (b != '\r') {
+                line.append((char) b);
+            }
+        }
+        return line.toString();
+    }
+
+    private static void readAnswer(Socket socket) throws IOException {
+        int length = 0;
+        for (String line = readLine(socket); !line.isEmpty(); line = readLine(socket)) {
+            if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+                length = Integer.parseInt(line.substring(15).strip());
+            }
+        }
+        InputStream in = socket.getInputStream();
+        assertEquals(length, in.readNBytes(length).length);
+    }
+}
