--- a/src/main/java/org/jujuberouter/dispatch/Placer.java
+++ b/src/main/java/org/jujuberouter/dispatch/Placer.java
@@ -53,6 +53,18 @@
     /** The numbers of parts that are tried; an engine takes at most 16 helpers. */
     private static final int[] PARTS = {1, 2, 3, 4, 6, 8, 11, 14, 17};
 
+    /** Shortest part that is worth an engine's attention, in milliseconds. */
+    private static final double SHORTEST_PART_MS = 60;
+
+    /** Reading left up to which an engine counts as free for short prompts, in milliseconds. */
+    private static final double FREE_READ_MS = 100;
+
+    /** Part of the engines that long prompts leave free, so that short ones find a place when their number jumps. */
+    private static final double KEPT_FREE = 0.2;
+
+    /** What each engine missing from that part costs, in short calls that would come there while it reads. */
+    private static final double KEPT_FREE_WEIGHT = 4;
+
     /** Time after which a call without any usable endpoint may come back, in milliseconds. */
     private static final long NO_ENDPOINT_RETRY_MS = 1_000;
 
@@ -69,7 +81,19 @@
         return new Placer(fleet, ticker);
     }
 
-    private record Option(List<EndpointState> parts, double loss, double firstMs) {}
+    /**
+     * A way to read a prompt.
+     *
+     * @param parts the engines, the one that answers first
+     * @param loss weight of what it makes late, which is less after a wait perhaps
+     * @param risk weight of calls to come that it may make late
+     * @param firstMs time to the first event, in milliseconds
+     */
+    private record Option(List<EndpointState> parts, double loss, double risk, double firstMs) {
+        private double cost() {
+            return loss + risk;
+        }
+    }
 
     /**
      * Decides on a call.
@@ -113,21 +137,24 @@
             Demand demand, EngineModel engine, List<EndpointState> open, double waitedMs, long now) {
         Option best = null;
         for (int parts : PARTS) {
+            if (parts > 1 && engine.readMs(demand.promptTokens()) / parts < SHORTEST_PART_MS) {
+                break;
+            }
             Option option = option(demand, engine, open, parts, now);
             if (option == null) {
                 continue;
             }
             if (best == null
-                    || option.loss < best.loss - 1e-9
-                    || option.loss < best.loss + 1e-9 && option.firstMs < best.firstMs * 0.8) {
+                    || option.cost() < best.cost() - 1e-9
+                    || option.cost() < best.cost() + 1e-9 && option.firstMs < best.firstMs * 0.8) {
                 best = option;
             }
-            if (option.loss == 0 && option.firstMs <= demand.objectiveMs() * EARLY_ENOUGH) {
+            if (option.cost() == 0 && option.firstMs <= demand.objectiveMs() * EARLY_ENOUGH) {
                 break;
             }
         }
         boolean impatient = waitedMs > demand.objectiveMs() * PATIENCE;
-        if (best == null || best.loss > 0 && !impatient) {
+        if (best == null || best.cost() > 0 && !impatient) {
             return new Placement.Wait();
         }
         return send(demand, engine, best);
@@ -171,7 +198,20 @@
         rated.sort(Comparator.comparingDouble(Rated::loss)
                 .thenComparingDouble(Rated::crowd)
                 .thenComparingInt(Rated::place));
-        return choose(demand, rated, parts, memory, divided ? perEngine : 0, perEngine);
+        Option chosen = choose(demand, rated, parts, memory, divided ? perEngine : 0, perEngine);
+        if (chosen == null || readMs <= FREE_READ_MS) {
+            return chosen;
+        }
+        double missing = enginesMissing(open, chosen.parts, now);
+        return new Option(chosen.parts, chosen.loss, missing * KEPT_FREE_WEIGHT, chosen.firstMs);
+    }
+
+    /** Returns how many engines fewer than wanted would be free for short prompts. */
+    private static double enginesMissing(List<EndpointState> open, List<EndpointState> taken, long now) {
+        long free = open.stream()
+                .filter(e -> !taken.contains(e) && e.load().readLeftMs(now) <= FREE_READ_MS)
+                .count();
+        return Math.max(0, Math.ceil(open.size() * KEPT_FREE) - free);
     }
 
     private record Rated(
@@ -209,7 +249,7 @@
                 firstMs = Math.max(firstMs, r.firstMs);
             }
         }
-        return new Option(chosen, harm + own, firstMs);
+        return new Option(chosen, harm + own, 0, firstMs);
     }
 
     private static Placement send(Demand demand, EngineModel engine, Option option) {
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.jujuberouter.catalog.Call;
 import org.jujuberouter.catalog.CallerLimits;
@@ -44,6 +45,9 @@
     /** Pause between two looks for a place, which bounds how late a change that nobody tells is noticed. */
     private static final long LOOK_AGAIN_MS = 10;
 
+    /** Time over which instances spread their look at a place that became free. */
+    private static final long LOOK_SPREAD_MS = 9;
+
     /** Time after which a registration that lapsed while the store was away is taken as gone (the users' letter). */
     private static final long LAPSED_GRACE_MS = 1_900;
 
@@ -244,7 +248,8 @@
 
     private void somethingChanged() {
         if (!waiting.isEmpty()) {
-            planLook(0);
+            // All instances hear of a free place at once; the first to take it is heard of before the next one looks.
+            planLook(ThreadLocalRandom.current().nextLong(LOOK_SPREAD_MS));
         }
     }
 
--- a/src/test/java/org/jujuberouter/dispatch/PlacerTest.java
+++ b/src/test/java/org/jujuberouter/dispatch/PlacerTest.java
@@ -101,7 +101,8 @@
     @Test
     void dividesAPromptThatFitsNoEngineAndReservesItsMemory() {
         engines(8);
-        Placement.Send send = send(longPrompt(405_000));
+        Placement.Send send =
+                assertInstanceOf(Placement.Send.class, placer.place(longPrompt(405_000), SPEC, Set.of(), 10_000));
         assertTrue(send.tokensEach() > 0);
         assertTrue(send.tokensEach() * send.works().size() >= 405_700);
         assertTrue(send.tokensEach() < 232_000);
@@ -157,6 +158,34 @@
         assertEquals(3, send.works().size(), "engines that read it");
     }
 
+    /** Pattern: the number of short prompts jumps while long ones are read. */
+    @Test
+    void keepsAFifthOfTheEnginesFreeOfLongPrompts() {
+        engines(10);
+        Set<EndpointId> reading = new HashSet<>();
+        for (int i = 0; i < 6; i++) {
+            if (placer.place(longPrompt(150_000), SPEC, Set.of(), 0) instanceof Placement.Send send) {
+                fleet.start(send.works());
+                send.works().forEach(w -> reading.add(w.endpoint()));
+            }
+        }
+        assertTrue(reading.size() <= 8, "engines that read long prompts: " + reading);
+        assertFalse(reading.contains(send(shortPrompt()).endpoint().endpoint().id()));
+    }
+
+    /** Pattern: short prompts while all engines are busy. */
+    @Test
+    void readsAShortPromptOnOneEngineAlone() {
+        engines(4);
+        for (int i = 0; i < 4; i++) {
+            fleet.start(List.of(
+                    new Work(RequestId.of("busy" + i), EndpointId.of("e" + i), true, 900, 100_000, 2_500, 1_000, 8)));
+        }
+        Placement.Send send =
+                assertInstanceOf(Placement.Send.class, placer.place(shortPrompt(), SPEC, Set.of(), 10_000));
+        assertEquals(1, send.works().size());
+    }
+
     /** Pattern: an engine that works on calls that nobody here sent, or slower than its model. */
     @Test
     void avoidsAnEngineWhoseFirstEventsComeLaterThanPlanned() {
