--- /dev/null
+++ b/src/test/java/org/jujuberouter/control/StoreFeedTest.java
@@ -0,0 +1,154 @@
+package org.jujuberouter.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.DefaultEventLoop;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.misc.ManualTicker;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a view of the store that misses a change, takes an older one, or counts as current too long. */
+class StoreFeedTest {
+    private final DefaultEventLoop loop = new DefaultEventLoop();
+    private final ManualTicker ticker = ManualTicker.atZero();
+    private final ScriptedStore store = new ScriptedStore();
+    private final List<String> heard = new ArrayList<>();
+
+    private final FeedListener listener = new FeedListener() {
+        @Override
+        public void onFact(String key, ControlFact fact) {
+            heard.add("fact " + key);
+        }
+
+        @Override
+        public void onRemoved(String key, ControlFact fact, boolean seenLive) {
+            heard.add("removed " + key + (seenLive ? "" : " while away"));
+        }
+
+        @Override
+        public void onContact(long sentNanos) {
+            heard.add("contact " + TimeUnit.NANOSECONDS.toMillis(sentNanos));
+        }
+
+        @Override
+        public void onContactLost(String reason) {
+            heard.add("lost " + reason);
+        }
+    };
+
+    /** Keeps each question until the test answers it. */
+    private static final class ScriptedStore implements ControlStore {
+        private final Deque<Consumer<ControlReply>> reads = new ArrayDeque<>();
+        private final Deque<Consumer<ControlReply>> watches = new ArrayDeque<>();
+        private final List<Long> watchedAfter = new ArrayList<>();
+
+        @Override
+        public synchronized void read(Consumer<ControlReply> answer) {
+            reads.add(answer);
+        }
+
+        @Override
+        public synchronized void watch(long afterRevision, long waitMs, Consumer<ControlReply> answer) {
+            watchedAfter.add(afterRevision);
+            watches.add(answer);
+        }
+
+        private synchronized int waiting(boolean read) {
+            return read ? reads.size() : watches.size();
+        }
+
+        private synchronized Consumer<ControlReply> take(boolean read) {
+            return read ? reads.poll() : watches.poll();
+        }
+
+        @Override
+        public void announce(InstanceId instance, InetSocketAddress peers, long leaseMs, Consumer<String> answer) {}
+
+        @Override
+        public void renew(Consumer<Boolean> answer) {}
+
+        @Override
+        public void withdraw(Runnable done) {}
+    }
+
+    @AfterEach
+    void stopLoop() {
+        loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    private void answer(boolean read, ControlReply reply) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        while (store.waiting(read) == 0 && System.nanoTime() < end) {
+            Thread.sleep(5);
+        }
+        store.take(read).accept(reply);
+    }
+
+    private static ControlEvent written(String key, long revision) {
+        return new ControlEvent.Written(key, revision, new ControlFact.Evacuation(FailureDomain.of(key)));
+    }
+
+    private static ControlReply known(long revision, ControlEvent... events) {
+        return new ControlReply.Known(List.of(events), revision);
+    }
+
+    @Test
+    void goesOnFromTheRevisionOfTheReadAndSkipsWhatItKnows() throws Exception {
+        StoreFeed.of(store, loop, ticker, listener).start();
+        answer(true, known(10, written("a", 12), written("b", 3)));
+        answer(false, known(12, written("a", 12)));
+        answer(false, known(13, written("a", 13)));
+        assertEquals(List.of(10L, 12L, 13L), store.watchedAfter);
+        assertEquals(List.of("contact 0", "fact a", "fact b", "contact 0", "contact 0", "fact a"), heard);
+    }
+
+    @Test
+    void countsContactFromTheMomentTheWatchWasSent() throws Exception {
+        StoreFeed.of(store, loop, ticker, listener).start();
+        answer(true, known(10));
+        ticker.advance(java.time.Duration.ofMillis(1_200));
+        answer(false, known(10));
+        ticker.advance(java.time.Duration.ofMillis(1_200));
+        answer(false, known(10));
+        assertEquals(List.of("contact 0", "contact 0", "contact 1200"), heard);
+    }
+
+    @Test
+    void removesWhatIsMissingWhenTheHistoryWasLost() throws Exception {
+        StoreFeed.of(store, loop, ticker, listener).start();
+        answer(true, known(10, written("a", 1), written("b", 2)));
+        answer(false, new ControlReply.HistoryLost());
+        answer(true, known(40, written("b", 2), written("c", 30)));
+        assertEquals(List.of("contact 0", "fact a", "fact b", "contact 0", "fact c", "removed a"), heard);
+    }
+
+    @Test
+    void tellsWhetherARemovalHappenedWhileTheStoreWasAway() throws Exception {
+        StoreFeed.of(store, loop, ticker, listener).start();
+        answer(true, known(10, written("a", 1), written("b", 2)));
+        answer(false, new ControlReply.Failed("status 503"));
+        answer(false, known(20, new ControlEvent.Removed("a", 15)));
+        ticker.advance(java.time.Duration.ofSeconds(3));
+        answer(false, known(30, new ControlEvent.Removed("b", 25)));
+        assertEquals(
+                List.of(
+                        "contact 0",
+                        "fact a",
+                        "fact b",
+                        "lost status 503",
+                        "contact 0",
+                        "removed a while away",
+                        "contact 0",
+                        "removed b"),
+                heard);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jujuberouter/platform/KvItemsTest.java
@@ -0,0 +1,83 @@
+package org.jujuberouter.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import org.jujuberouter.catalog.Catalog;
+import org.jujuberouter.catalog.Endpoint;
+import org.jujuberouter.catalog.RepeatRule;
+import org.jujuberouter.control.ControlFact;
+import org.junit.jupiter.api.Test;
+
+/** Guards against values of the store that are misread, and against foreign ones that do harm. */
+class KvItemsTest {
+    private static final String ENTRY = """
+            {"Service":"s","Address":"10.128.0.9:8080","Zone":"north","Slots":11,"State":"ready",
+             "ColdRemainingMs":700,"Sequence":4,"born":1700000000000}""";
+
+    private static ControlFact decode(String key, String value) {
+        return KvItems.decode(key, Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private static void assertUnreadable(String value) {
+        assertInstanceOf(ControlFact.Unreadable.class, decode("servers/i-1", value), value);
+    }
+
+    @Test
+    void decodesARegistration() {
+        Endpoint e = assertInstanceOf(ControlFact.Registration.class, decode("servers/i-1", ENTRY))
+                .endpoint();
+        assertEquals("i-1", e.id().value());
+        assertEquals(8080, e.address().getPort());
+        assertEquals(700, e.coldMs());
+        assertEquals(1_700_000_000_000L, e.started());
+    }
+
+    @Test
+    void takesNoEndpointFromAnEntryOfAnotherWriter() {
+        assertUnreadable("");
+        assertUnreadable("\u0000\u0001 not json");
+        assertUnreadable("[1,2]");
+        assertUnreadable(ENTRY.replace("\"ready\"", "\"sleeping\""));
+        assertUnreadable(ENTRY.replace("11", "\"many\""));
+        assertUnreadable(ENTRY.replace("11", "-1"));
+        assertUnreadable(ENTRY.replace("700", "\"soon\""));
+        assertUnreadable(ENTRY.replace("10.128.0.9:8080", "engine.example:80"));
+        assertUnreadable(ENTRY.replace("10.128.0.9:8080", "10.128.0.9:port"));
+        assertInstanceOf(ControlFact.Unreadable.class, KvItems.decode("servers/i-1", "%%%"));
+    }
+
+    @Test
+    void decodesAConfigurationAndFindsTheLongestPrefix() {
+        String config = """
+                {"Version":7,"Routes":[
+                  {"Name":"a","Host":"h.example","Prefix":"/a/","Type":"streaming","StreamResume":true,"TimeoutMs":900,
+                   "Backends":[{"Service":"s","Weight":90},{"Service":"t","Weight":10}],"MaxAttempts":2},
+                  {"Name":"b","Host":"h.example","Prefix":"/a/b/","Type":"non_idempotent","Service":"t","Public":true}],
+                 "Services":[{"Name":"s","HealthCheck":"/health","ColdPerS":26.0},{"Name":"t"}],
+                 "Limits":{"MaxHeaderBytes":1000},
+                 "Tenants":[{"Name":"c","ApiKeys":["k1","k2"],"Priority":1}]}""";
+        Catalog catalog = assertInstanceOf(ControlFact.Configuration.class, decode("op/config", config))
+                .catalog();
+        assertEquals(7, catalog.version());
+        assertEquals(
+                RepeatRule.RESUMABLE_STREAM,
+                catalog.route("h.example", "/a/x").orElseThrow().repeat());
+        assertEquals("b", catalog.route("h.example", "/a/b/x").orElseThrow().name());
+        assertTrue(catalog.route("h.example", "/a").isEmpty());
+        assertTrue(catalog.route("other.example", "/a/x").isEmpty());
+        assertEquals("c", catalog.customer("k2").orElseThrow().id().value());
+        assertTrue(catalog.customer("k3").isEmpty());
+        assertEquals(1_000, catalog.limits().maxHeaderBytes());
+    }
+
+    @Test
+    void keepsAnUnknownKindOfRouteFromBecomingAConfiguration() {
+        String config =
+                "{\"Version\":1,\"Routes\":[{\"Host\":\"h\",\"Prefix\":\"/\",\"Type\":\"odd\",\"Service\":\"s\"}]}";
+        assertInstanceOf(ControlFact.Unreadable.class, decode("op/config", config));
+    }
+}
