Announce an instance until it has stopped, keep its last log lines, and dial a lost peer each second

A peer that was lost was dialled again after up to 5 s, and the JDK's log manager dropped what was logged during the stop. Ruled out: the store (reached throughout), the plan at engines without such work (seen less planned: median -3 ms).

--- a/src/main/java/org/jujuberouter/cli/Main.java
+++ b/src/main/java/org/jujuberouter/cli/Main.java
@@ -23,6 +23,7 @@
 
     /** Runs the subcommand that the arguments name and exits with its code. */
     public static void main(String[] args) {
+        LastingLogManager.install();
         CommandLine root = OperatorCommands.addTo(new CommandLine(new Main()));
         System.exit(root.addSubcommand(LoadCommand.of())
                 .addSubcommand(MeasureCapacityCommand.of())
--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -39,11 +39,15 @@
 
     private static final long STOP_CHECK_MS = 50;
 
+    /** Longest wait for the store to take the announcement back; it lapses by itself otherwise. */
+    private static final long WITHDRAW_MS = 150;
+
     private final GatewayOptions options;
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
     private final Gateway gateway;
     private final ControlStore store;
+    private boolean withdrawing;
 
     private GatewayDaemon(GatewayOptions options, OutsideWorld outside) {
         this.options = options;
@@ -134,7 +138,6 @@
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         loop.execute(() -> {
             gateway.stop();
-            store.withdraw(() -> {});
             long begun = gateway.ticker().millis();
             loop.scheduleAtFixedRate(
                     () -> checkStop(begun, stopped), STOP_CHECK_MS, STOP_CHECK_MS, TimeUnit.MILLISECONDS);
@@ -155,8 +158,12 @@
             return;
         }
         gateway.closeIdleConnections();
-        if (gateway.runningCalls() == 0 || passed > options.bounds().stopMs() - EXIT_MARGIN_MS) {
-            stopped.complete(null);
+        boolean last = passed > options.bounds().stopMs() - EXIT_MARGIN_MS;
+        if (!withdrawing && (gateway.runningCalls() == 0 || last)) {
+            // Not before: peers count the work of this instance for as long as it is announced.
+            withdrawing = true;
+            store.withdraw(() -> stopped.complete(null));
+            loop.schedule(() -> stopped.complete(null), WITHDRAW_MS, TimeUnit.MILLISECONDS);
         }
     }
 }
--- a/src/main/java/org/jujuberouter/peer/PeerNetwork.java
+++ b/src/main/java/org/jujuberouter/peer/PeerNetwork.java
@@ -36,7 +36,7 @@
     private static final System.Logger LOG = System.getLogger(PeerNetwork.class.getName());
     private static final int CONNECT_TIMEOUT_MILLIS = 1000;
     private static final long BACK_OFF_FIRST_MILLIS = 100;
-    private static final long BACK_OFF_LAST_MILLIS = 5000;
+    private static final long BACK_OFF_LAST_MILLIS = 1000;
     private static final long CHECK_MILLIS = 250;
     private static final long STRANGER_LOG_MILLIS = 1000;
 
--- a/src/test/java/org/jujuberouter/gateway/GatewayTest.java
+++ b/src/test/java/org/jujuberouter/gateway/GatewayTest.java
@@ -309,6 +309,40 @@
         hanging.join();
     }
 
+    /** The calls that a stopping instance still serves occupy their endpoints until they end. */
+    @Test
+    void countsTheWorkOfAPeerThatIsStopping() throws Exception {
+        URI other = URI.create("http://127.0.0.1:" + startInstance("second").getPort());
+        await(() -> statusAt(other, "warm-" + calls++) == 200);
+        site.ledgers().forEach(e -> e.setBehaviour(Behaviour.HANG));
+        CompletableFuture<HttpResponse<String>> hanging =
+                CompletableFuture.supplyAsync(() -> send("/read/x", "hanging"));
+        await(() -> runs("hanging") == 1);
+        site.ledgers().forEach(e -> e.setBehaviour(Behaviour.ANSWER));
+        EngineStandin busy = site.ledgers().stream()
+                .filter(e -> e.runs().contains("hanging"))
+                .findFirst()
+                .orElseThrow();
+        CompletableFuture<Void> stop =
+                CompletableFuture.runAsync(() -> daemons.getFirst().close());
+        Thread.sleep(500);
+        for (int i = 0; i < 4; i++) {
+            assertEquals(200, statusAt(other, "next-" + i));
+            assertFalse(busy.runs().contains("next-" + i));
+        }
+        stop.join();
+        hanging.join();
+    }
+
+    private int statusAt(URI instance, String id) {
+        HttpRequest request = StandinSite.request(instance.resolve("/read/x"), id)
+                .POST(HttpRequest.BodyPublishers.ofString("x"))
+                .build();
+        return client.sendAsync(request, HttpResponse.BodyHandlers.discarding())
+                .join()
+                .statusCode();
+    }
+
     private static String callHeaders(String id) {
         return "Host: " + StandinSite.HOST + "\r\nX-Jujuberouter-Attempt-Id: " + id
                 + "\r\nX-Jujuberouter-Deadline-Ms: 4000\r\nAuthorization: Bearer " + StandinSite.KEY + "\r\n";
