--- a/src/main/java/org/jujuberouter/cli/LastingLogManager.java
+++ b/src/main/java/org/jujuberouter/cli/LastingLogManager.java
@@ -13,11 +13,6 @@
         super();
     }
 
-    /** Makes this the log manager; to be called before anything is logged. */
-    static void install() {
-        System.setProperty("java.util.logging.manager", LastingLogManager.class.getName());
-    }
-
     @Override
     public void reset() {
         // The handlers stay until the process ends.
--- a/src/main/java/org/jujuberouter/cli/Main.java
+++ b/src/main/java/org/jujuberouter/cli/Main.java
@@ -23,7 +23,8 @@
 
     /** Runs the subcommand that the arguments name and exits with its code. */
     public static void main(String[] args) {
-        LastingLogManager.install();
+        // Read when the JDK's class is initialised, which a call of our subclass would do before the property is set.
+        System.setProperty("java.util.logging.manager", LastingLogManager.class.getName());
         CommandLine root = OperatorCommands.addTo(new CommandLine(new Main()));
         System.exit(root.addSubcommand(LoadCommand.of())
                 .addSubcommand(MeasureCapacityCommand.of())
