--- a/src/main/java/org/jujuberouter/cli/ServeCommand.java
+++ b/src/main/java/org/jujuberouter/cli/ServeCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import org.jujuberouter.gateway.GatewayDaemon;
 import org.jujuberouter.gateway.GatewayOptions;
@@ -14,9 +15,14 @@
 @Command(
         name = "serve",
         mixinStandardHelpOptions = true,
-        description = "Runs one instance on the users' platform. SIGTERM stops it gracefully.",
+        description = {
+            "Runs one instance on the users' platform.",
+            "SIGTERM stops it gracefully; SIGHUP makes it check its settings file."
+        },
         exitCodeList = {"0: stopped as told", "1: the settings cannot be read or an address cannot be bound"})
 public final class ServeCommand implements Callable<Integer> {
+    private static final System.Logger LOG = System.getLogger(ServeCommand.class.getName());
+
     @Option(
             names = "--node-file",
             description = "The platform's settings file (default: $" + NodeFile.PATH_VARIABLE + ", else "
@@ -40,7 +46,24 @@
             return 1;
         }
         GatewayDaemon daemon = GatewayDaemon.start(options, UsersPlatform.create());
+        HangupSignal.onHangup(() -> readAgain(file, options));
         StandinCommand.awaitStop(daemon);
         return 0;
     }
+
+    /** Checks the settings that are there now; addresses and bounds are those of the start until the next one. */
+    private static void readAgain(Path file, GatewayOptions inForce) {
+        try {
+            boolean changed = !NodeFile.read(file).equals(inForce);
+            LOG.log(
+                    System.Logger.Level.INFO,
+                    "[state] settings read again, in force from the next start",
+                    Map.entry("changed", changed));
+        } catch (IOException e) {
+            LOG.log(
+                    System.Logger.Level.WARNING,
+                    "[state] settings cannot be read; those of the start stay in force",
+                    Map.entry("reason", String.valueOf(e.getMessage())));
+        }
+    }
 }
--- a/src/test/java/org/jujuberouter/process/ServeTest.java
+++ b/src/test/java/org/jujuberouter/process/ServeTest.java
@@ -1,6 +1,7 @@
 package org.jujuberouter.process;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
@@ -43,6 +44,38 @@
         }
     }
 
+    @Test
+    void readsItsSettingsAgainOnSighupAndGoesOn() throws Exception {
+        try (StandinSite site = StandinSite.start(1, 1, 1)) {
+            Path node = files.resolve("node.json");
+            int port = site.writeNodeFile(node, "one").getPort();
+            Path output = files.resolve("output");
+            Process process = new ProcessBuilder(BINARY, "serve", "--node-file", node.toString())
+                    .redirectErrorStream(true)
+                    .redirectOutput(output.toFile())
+                    .start();
+            try {
+                awaitPort(port);
+                hangUp(process);
+                Files.writeString(node, "not a settings file");
+                hangUp(process);
+                assertFalse(process.waitFor(5, TimeUnit.SECONDS), "the process ended");
+                String log = Files.readString(output);
+                assertTrue(log.contains("[state] settings read again"), log);
+                assertTrue(log.contains("[state] settings cannot be read"), log);
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static void hangUp(Process process) throws Exception {
+        new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid()))
+                .start()
+                .waitFor();
+        Thread.sleep(500);
+    }
+
     @Test
     void saysWhatIsWrongWithTheSettingsAndEndsWithCodeOne() throws Exception {
         Path node = Files.writeString(files.resolve("node.json"), "{\"Node\":\"one\"}");
