Catch the signals to stop and to read the settings before callers can connect

Cause: ServeTest.endsWithCodeZeroWhenToldToStopAndLogsIt failed once, in a whole run of the tests beside seven busy processes (exit code 143): SIGTERM came after the port listened and before the hook for it was there, so the process ended at once. Ruled out: the stop itself; the same was seen by hand with SIGTERM 1.5 s after the start on a busy machine.

--- a/src/main/java/org/jujuberouter/cli/ServeCommand.java
+++ b/src/main/java/org/jujuberouter/cli/ServeCommand.java
@@ -4,6 +4,8 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import org.jujuberouter.gateway.GatewayDaemon;
 import org.jujuberouter.gateway.GatewayOptions;
 import org.jujuberouter.platform.NodeFile;
@@ -45,9 +47,18 @@
             System.err.println("cannot read the settings: " + e.getMessage());
             return 1;
         }
-        GatewayDaemon daemon = GatewayDaemon.start(options, UsersPlatform.create());
+        // Signals may come as soon as callers can connect, so they are caught before.
         HangupSignal.onHangup(() -> readAgain(file, options));
-        StandinCommand.awaitStop(daemon);
+        CompletableFuture<GatewayDaemon> daemon = new CompletableFuture<>();
+        StandinCommand.onStop(() -> daemon.get().close());
+        try {
+            daemon.complete(GatewayDaemon.start(options, UsersPlatform.create()));
+        } catch (IOException e) {
+            System.err.println("cannot start: " + e.getMessage());
+            // An ordinary exit would wait for the daemon that did not start.
+            Runtime.getRuntime().halt(1);
+        }
+        new CountDownLatch(1).await();
         return 0;
     }
 
--- a/src/main/java/org/jujuberouter/cli/StandinCommand.java
+++ b/src/main/java/org/jujuberouter/cli/StandinCommand.java
@@ -23,18 +23,21 @@
 public final class StandinCommand extends GroupCommand {
     /** Keeps a stand-in running until the process is told to end. */
     static void awaitStop(AutoCloseable server) throws InterruptedException {
-        CountDownLatch stopped = new CountDownLatch(1);
+        onStop(server);
+        new CountDownLatch(1).await();
+    }
+
+    /** Closes the server when the process is told to end, and ends it with code 0. */
+    static void onStop(AutoCloseable server) {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 server.close();
             } catch (Exception e) {
                 System.err.println("the stand-in did not close: " + e.getMessage());
             }
-            stopped.countDown();
             // The JVM would end with 143 after SIGTERM, which supervisors take for a failure.
             Runtime.getRuntime().halt(0);
         }));
-        stopped.await();
     }
 
     /** Runs the stand-in of the platform store. */
