Simplify the code of the users' platform without a change of behaviour

Written twice before, once now: opening a connection (Dialer), memory of silent peers (SilentPeers, from the permits and the run consent), giving a call up in Exchange, the division of a prompt in Placer, forgetting the work of peers, the grace for lapsed registrations, the start of a process in tests (ChildProcess). Dead and removed: a listener method, two bounds and a method that nothing read, an alias of a method.

--- a/src/main/java/org/jujuberouter/catalog/EngineModel.java
+++ b/src/main/java/org/jujuberouter/catalog/EngineModel.java
@@ -36,9 +36,4 @@
     public double writePassMs(int writers, long contextTokens) {
         return stride * (stepMs + perWriterMs * writers + contextMsPerThousand * contextTokens / 1000);
     }
-
-    /** Returns the longest reading that one pass can contain, in milliseconds, without the pairs. */
-    public double fullReadMs() {
-        return stride * chunkTokens / readTokensPerMs;
-    }
 }
--- a/src/main/java/org/jujuberouter/control/StoreFeed.java
+++ b/src/main/java/org/jujuberouter/control/StoreFeed.java
@@ -23,7 +23,7 @@
     private static final long RETRY_LAST_MS = 400;
 
     /** Time after which a store that was away has the registrations of living endpoints again (the users' letter). */
-    private static final long RETURN_GRACE_MS = 1_900;
+    public static final long RETURN_GRACE_MS = 1_900;
 
     private final ControlStore store;
     private final EventLoop loop;
--- a/src/main/java/org/jujuberouter/dispatch/EndpointLoad.java
+++ b/src/main/java/org/jujuberouter/dispatch/EndpointLoad.java
@@ -49,7 +49,7 @@
         }
         double rest = readTotalMs();
         // What is left cannot be more than before; the work that was read counts as done.
-        readingSince = now - (long) (Math.max(0, rest - Math.min(left, rest)) * NANOS_PER_MS);
+        readingSince = now - (long) ((rest - Math.min(left, rest)) * NANOS_PER_MS);
     }
 
     boolean remove(RequestId id, long now) {
--- a/src/main/java/org/jujuberouter/dispatch/Fleet.java
+++ b/src/main/java/org/jujuberouter/dispatch/Fleet.java
@@ -88,8 +88,7 @@
         return found;
     }
 
-    /** Tells whether new work may still go to the endpoint. */
-    public boolean mayUse(EndpointState e, long now) {
+    private boolean mayUse(EndpointState e, long now) {
         return e.isUsable(now) && !evacuated.contains(e.endpoint().domain());
     }
 
--- a/src/main/java/org/jujuberouter/dispatch/Placer.java
+++ b/src/main/java/org/jujuberouter/dispatch/Placer.java
@@ -84,17 +84,47 @@
     /**
      * A way to read a prompt.
      *
-     * @param parts the engines, the one that answers first
+     * @param division how it is divided
+     * @param engines the engines, the one that answers first
      * @param loss weight of what it makes late, which is less after a wait perhaps
      * @param risk weight of calls to come that it may make late
      * @param firstMs time to the first event, in milliseconds
      */
-    private record Option(List<EndpointState> parts, double loss, double risk, double firstMs) {
+    private record Option(Division division, List<EndpointState> engines, double loss, double risk, double firstMs) {
         private double cost() {
             return loss + risk;
         }
     }
 
+    /**
+     * What each engine gets of a prompt that is read in even parts.
+     *
+     * @param parts engines that read it
+     * @param readMs time to read one part, in milliseconds
+     * @param firstTokens memory at the engine that answers
+     * @param otherTokens memory at each of the others
+     * @param reserved whether the prompt fits into no engine, so that the memory at each is reserved
+     */
+    private record Division(int parts, double readMs, long firstTokens, long otherTokens, boolean reserved) {
+        private static Division of(Demand demand, EngineModel engine, int parts) {
+            double readMs = engine.readMs(demand.promptTokens()) / parts;
+            long memory = demand.promptTokens() + demand.outputTokens();
+            long each = memory / parts + 1;
+            return memory > usableTokens(engine)
+                    ? new Division(parts, readMs, each, each, true)
+                    : new Division(parts, readMs, memory, 0, false);
+        }
+
+        /** Returns the least memory that an engine needs to take any part. */
+        private long leastTokens() {
+            return parts == 1 ? firstTokens : otherTokens;
+        }
+    }
+
+    private static long usableTokens(EngineModel engine) {
+        return (long) (engine.memoryTokens() * USABLE_MEMORY);
+    }
+
     /**
      * Decides on a call.
      *
@@ -135,12 +165,13 @@
 
     private Placement placePrompt(
             Demand demand, EngineModel engine, List<EndpointState> open, double waitedMs, long now) {
+        double readMs = engine.readMs(demand.promptTokens());
         Option best = null;
         for (int parts : PARTS) {
-            if (parts > 1 && engine.readMs(demand.promptTokens()) / parts < SHORTEST_PART_MS) {
+            if (parts > 1 && readMs / parts < SHORTEST_PART_MS) {
                 break;
             }
-            Option option = option(demand, engine, open, parts, now);
+            Option option = option(demand, engine, open, Division.of(demand, engine, parts), now);
             if (option == null) {
                 continue;
             }
@@ -157,25 +188,19 @@
         if (best == null || best.cost() > 0 && !impatient) {
             return new Placement.Wait();
         }
-        return send(demand, engine, best);
+        return send(demand, best);
     }
 
-    /** Returns the best way to read the prompt in the given number of parts, or null where there is none. */
-    private Option option(Demand demand, EngineModel engine, List<EndpointState> open, int parts, long now) {
-        double readMs = engine.readMs(demand.promptTokens()) / parts;
-        long memory = demand.promptTokens() + demand.outputTokens();
-        long perEngine = (long) (engine.memoryTokens() * USABLE_MEMORY);
-        boolean divided = memory > perEngine;
-        if (divided && (memory + parts - 1) / parts > perEngine) {
-            return null;
-        }
-        boolean shortPrompt = engine.readMs(demand.promptTokens()) <= SHORT_READ_MS;
+    /** Returns the best way to read the prompt with the given division, or null where there is none. */
+    private Option option(Demand demand, EngineModel engine, List<EndpointState> open, Division division, long now) {
+        double readMs = division.readMs;
+        long usableTokens = usableTokens(engine);
+        boolean shortPrompt = readMs * division.parts <= SHORT_READ_MS;
         List<Rated> rated = new ArrayList<>();
         for (int i = 0; i < open.size(); i++) {
             EndpointState e = open.get(i);
             EndpointLoad load = e.load();
-            long needed = divided ? memory / parts + 1 : parts == 1 ? memory : 0;
-            if (load.memoryTokens() + needed > perEngine
+            if (load.memoryTokens() + division.leastTokens() > usableTokens
                     || load.helping() >= e.endpoint().slots()) {
                 continue;
             }
@@ -183,7 +208,7 @@
             double first = load.firstMs(engine, readMs, now) + e.delayMs(now);
             // Calls that arrive during a long reading are delayed like those that are there.
             double harm = load.lateWeight(pass, USABLE_GAP) * (1 + readMs / USUAL_STREAM_MS);
-            if (parts > 1) {
+            if (division.parts > 1) {
                 harm += load.overtakenWeight(engine, readMs, now);
             }
             double own = first > demand.objectiveMs() * USABLE_OBJECTIVE ? demand.weight() : 0;
@@ -198,12 +223,12 @@
         rated.sort(Comparator.comparingDouble(Rated::loss)
                 .thenComparingDouble(Rated::crowd)
                 .thenComparingInt(Rated::place));
-        Option chosen = choose(demand, rated, parts, memory, divided ? perEngine : 0, perEngine);
+        Option chosen = choose(demand, rated, division, usableTokens);
         if (chosen == null || readMs <= FREE_READ_MS) {
             return chosen;
         }
-        double missing = enginesMissing(open, chosen.parts, now);
-        return new Option(chosen.parts, chosen.loss, missing * KEPT_FREE_WEIGHT, chosen.firstMs);
+        double missing = enginesMissing(open, chosen.engines, now);
+        return new Option(division, chosen.engines, chosen.loss, missing * KEPT_FREE_WEIGHT, chosen.firstMs);
     }
 
     /** Returns how many engines fewer than wanted would be free for short prompts. */
@@ -221,12 +246,11 @@
         }
     }
 
-    private static Option choose(
-            Demand demand, List<Rated> rated, int parts, long memory, long dividedOver, long perEngine) {
+    private static Option choose(Demand demand, List<Rated> rated, Division division, long usableTokens) {
         List<Rated> able = rated.stream()
-                .filter(r -> r.slot && (dividedOver > 0 || r.state.load().memoryTokens() + memory <= perEngine))
+                .filter(r -> r.slot && r.state.load().memoryTokens() + division.firstTokens <= usableTokens)
                 .toList();
-        if (able.isEmpty() || rated.size() < parts) {
+        if (able.isEmpty() || rated.size() < division.parts) {
             return null;
         }
         Rated best = able.getFirst();
@@ -240,7 +264,7 @@
         double harm = first.harm;
         double own = first.own;
         double firstMs = first.firstMs;
-        for (int i = 0; i < rated.size() && chosen.size() < parts; i++) {
+        for (int i = 0; i < rated.size() && chosen.size() < division.parts; i++) {
             Rated r = rated.get(i);
             if (r != first) {
                 chosen.add(r.state);
@@ -249,33 +273,29 @@
                 firstMs = Math.max(firstMs, r.firstMs);
             }
         }
-        return new Option(chosen, harm + own, 0, firstMs);
+        return new Option(division, chosen, harm + own, 0, firstMs);
     }
 
-    private static Placement send(Demand demand, EngineModel engine, Option option) {
-        int parts = option.parts.size();
-        long memory = demand.promptTokens() + demand.outputTokens();
-        boolean divided = memory > engine.memoryTokens() * USABLE_MEMORY;
-        double readMs = engine.readMs(demand.promptTokens()) / parts;
+    private static Placement send(Demand demand, Option option) {
+        Division division = option.division;
         List<Work> works = new ArrayList<>();
-        for (int i = 0; i < parts; i++) {
-            boolean first = i == 0;
-            long held = divided ? memory / parts + 1 : first ? memory : 0;
+        for (EndpointState e : option.engines) {
+            boolean first = works.isEmpty();
             works.add(new Work(
                     demand.id(),
-                    option.parts.get(i).endpoint().id(),
+                    e.endpoint().id(),
                     first,
-                    readMs,
-                    held,
+                    division.readMs,
+                    first ? division.firstTokens : division.otherTokens,
                     demand.objectiveMs(),
                     first ? demand.gapMs() : 0,
                     demand.weight()));
         }
         return new Placement.Send(
-                option.parts.getFirst(),
-                option.parts.subList(1, parts),
+                option.engines.getFirst(),
+                option.engines.subList(1, option.engines.size()),
                 works,
-                divided ? memory / parts + 1 : 0,
+                division.reserved ? division.firstTokens : 0,
                 option.firstMs,
                 option.loss);
     }
--- a/src/main/java/org/jujuberouter/entry/PermitBroker.java
+++ b/src/main/java/org/jujuberouter/entry/PermitBroker.java
@@ -38,7 +38,7 @@
     private static final int MAX_REDIRECTS = 2;
 
     /** An owner that did not answer is not asked for this time, so that a frozen one does not hold up every request. */
-    private static final long SILENT_OWNER_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final Duration SILENT_OWNER_TIME = Duration.ofSeconds(1);
 
     private final Ticker ticker;
     private final PermitDesk desk;
@@ -46,7 +46,7 @@
     private final PeerNetwork network;
     private final Function<EndpointId, String> crashIds;
     private final Map<RequestId, Held> held = new ConcurrentHashMap<>();
-    private final Map<InstanceId, Long> silentUntil = new ConcurrentHashMap<>();
+    private final SilentPeers silent;
 
     private PermitBroker(
             Ticker ticker,
@@ -59,6 +59,7 @@
         this.ownership = ownership;
         this.network = network;
         this.crashIds = crashIds;
+        this.silent = SilentPeers.of(ticker, SILENT_OWNER_TIME);
     }
 
     static PermitBroker create(
@@ -158,8 +159,7 @@
     }
 
     private Asked askPeer(InstanceId owner, EndpointId endpoint, PermitRequest request) throws InterruptedException {
-        Long until = silentUntil.get(owner);
-        if (until != null && ticker.nanos() - until < 0) {
+        if (silent.contains(owner)) {
             return Asked.of(new Decision.Refused(new Refusal.NotReporting()));
         }
         try {
@@ -168,7 +168,7 @@
             String crashId = reply.decision() instanceof PeerMessage.Granted g ? g.crashId() : "";
             return new Asked(PermitWire.fromMessage(reply.decision(), request, ticker), crashId);
         } catch (PeerException e) {
-            silentUntil.put(owner, ticker.nanos() + SILENT_OWNER_NANOS);
+            silent.note(owner);
             LOG.log(Level.DEBUG, "[permits] Owner {0} of {1} did not answer: {2}", owner, endpoint, e.getMessage());
             return Asked.of(new Decision.Refused(new Refusal.NotReporting()));
         }
--- a/src/main/java/org/jujuberouter/entry/RunConsent.java
+++ b/src/main/java/org/jujuberouter/entry/RunConsent.java
@@ -3,10 +3,8 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.jujuberouter.id.Fingerprint;
 import org.jujuberouter.id.InstanceId;
@@ -29,7 +27,7 @@
  */
 final class RunConsent {
     private static final Duration CALL_TIMEOUT = Duration.ofMillis(500);
-    private static final long SILENT_ARBITER_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final Duration SILENT_ARBITER_TIME = Duration.ofSeconds(1);
 
     private final InstanceId self;
     private final Ticker ticker;
@@ -37,7 +35,7 @@
     private final RunArbiter arbiter;
     private final PeerNetwork network;
     private final Supplier<Set<InstanceId>> live;
-    private final Map<InstanceId, Long> silentUntil = new ConcurrentHashMap<>();
+    private final SilentPeers silent;
 
     private RunConsent(
             InstanceId self,
@@ -49,6 +47,7 @@
         this.ticker = ticker;
         this.evidence = evidence;
         this.arbiter = RunArbiter.of(evidence, ticker);
+        this.silent = SilentPeers.of(ticker, SILENT_ARBITER_TIME);
         this.network = network;
         this.live = live;
     }
@@ -67,7 +66,7 @@
 
     Consent ask(Fingerprint fingerprint, RequestId run, Duration timeLeft) throws InterruptedException {
         InstanceId first = arbiterOf(fingerprint);
-        if (!first.equals(self) && !isSilent(first)) {
+        if (!first.equals(self) && !silent.contains(first)) {
             try {
                 PeerMessage.RunReply reply = network.call(
                         first, new PeerMessage.RunRequest(0, fingerprint, run, timeLeft.toMillis()), CALL_TIMEOUT);
@@ -75,17 +74,12 @@
             } catch (PeerException e) {
                 // The own arbiter decides below, and for a while without asking, so that a frozen one delays few
                 // requests.
-                silentUntil.put(first, ticker.nanos() + SILENT_ARBITER_NANOS);
+                silent.note(first);
             }
         }
         return new Consent(arbiter.request(fingerprint, run, timeLeft), self);
     }
 
-    private boolean isSilent(InstanceId instance) {
-        Long until = silentUntil.get(instance);
-        return until != null && ticker.nanos() - until < 0;
-    }
-
     private RunDecision decision(PeerMessage.RunReply reply) {
         reply.marks().forEach(m -> evidence.merge(notice(m)));
         return switch (reply.verdict()) {
--- a/src/main/java/org/jujuberouter/gateway/CallerConnection.java
+++ b/src/main/java/org/jujuberouter/gateway/CallerConnection.java
@@ -127,11 +127,11 @@
         head = request;
         body = Unpooled.compositeBuffer(1024);
         keepAlive = HttpUtil.isKeepAlive(request);
-        startTimer(limits.headerTimeoutMs() * 2, () -> end(408, "the body did not arrive in time"));
+        awaitBody();
         if (HttpUtil.isContentLengthSet(request) && request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
             end(400, "both Content-Length and Transfer-Encoding");
         } else if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
-            end(413, "the body is larger than " + limits.maxBodyBytes() + " bytes");
+            refuseBody(limits);
         } else if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(CONTINUE.retainedDuplicate());
         }
@@ -139,13 +139,13 @@
 
     private void append(HttpContent content) {
         if (content.content().isReadable()) {
-            if (body.readableBytes() + content.content().readableBytes()
-                    > gateway.limits().maxBodyBytes()) {
-                end(413, "the body is larger than " + gateway.limits().maxBodyBytes() + " bytes");
+            CallerLimits limits = gateway.limits();
+            if (body.readableBytes() + content.content().readableBytes() > limits.maxBodyBytes()) {
+                refuseBody(limits);
                 return;
             }
             body.addComponent(true, content.content().retain());
-            startTimer(gateway.limits().headerTimeoutMs() * 2, () -> end(408, "the body did not arrive in time"));
+            awaitBody();
         }
         if (content instanceof LastHttpContent) {
             stopTimer();
@@ -158,6 +158,14 @@
         }
     }
 
+    private void awaitBody() {
+        startTimer(gateway.limits().headerTimeoutMs() * 2, () -> end(408, "the body did not arrive in time"));
+    }
+
+    private void refuseBody(CallerLimits limits) {
+        end(413, "the body is larger than " + limits.maxBodyBytes() + " bytes");
+    }
+
     private void refuseMalformed(Throwable cause) {
         boolean tooLarge = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
         end(tooLarge ? 431 : 400, String.valueOf(cause.getMessage()));
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -91,12 +91,12 @@
             call = gateway.form().read(head);
         } catch (BadCallException e) {
             gateway.log().rejected(400, e.getMessage());
-            refuse(400, e.getMessage(), -1);
+            end(400, e.getMessage(), -1);
             return;
         }
         Optional<Catalog> catalog = gateway.catalog();
         if (catalog.isEmpty() || !gateway.contact().isCurrent()) {
-            refuse(503, "the configuration is not known to be current", RETRY_AFTER_MS);
+            end(503, "the configuration is not known to be current", RETRY_AFTER_MS);
             return;
         }
         if (!admit(catalog.get())) {
@@ -104,7 +104,7 @@
         }
         long waitMs = Math.min(call.deadlineMs().orElse(Long.MAX_VALUE) - RETURN_MS, route.timeoutMs());
         if (waitMs <= 0) {
-            refuse(503, "the deadline has passed", -1);
+            end(503, "the deadline has passed", -1);
             return;
         }
         deadline = arrived + TimeUnit.MILLISECONDS.toNanos(waitMs);
@@ -124,21 +124,21 @@
     private boolean admit(Catalog catalog) {
         Optional<Route> found = catalog.route(call.host(), call.path());
         if (found.isEmpty()) {
-            refuse(404, "no route for " + call.host() + call.path(), -1);
+            end(404, "no route for " + call.host() + call.path(), -1);
             return false;
         }
         route = found.get();
         if (catalog.requiresKeys() && !route.open()) {
             customer = catalog.customer(call.apiKey());
             if (customer.isEmpty()) {
-                refuse(401, "the API key is unknown", -1);
+                end(401, "the API key is unknown", -1);
                 return false;
             }
         }
         ServiceName name = route.serviceFor(call.id().hashCode());
         Optional<ServiceSpec> spec = catalog.service(name);
         if (spec.isEmpty()) {
-            refuse(503, "the service " + name + " is not declared", RETRY_AFTER_MS);
+            end(503, "the service " + name + " is not declared", RETRY_AFTER_MS);
             return false;
         }
         service = spec.get();
@@ -170,9 +170,7 @@
 
     private void send(Placement.Send place) {
         EndpointState at = place.endpoint();
-        long leftMs = Math.max(
-                1, TimeUnit.NANOSECONDS.toMillis(deadline - gateway.ticker().nanos()));
-        gateway.start(place.works(), leftMs);
+        gateway.start(place.works(), leftMs());
         tried.add(at.endpoint().id());
         Attempt made = new Attempt(at);
         attempt = made;
@@ -208,8 +206,6 @@
 
     private void open(Attempt made, Placement.Send place, String reservation) {
         Endpoint at = made.at.endpoint();
-        long leftMs = Math.max(
-                1, TimeUnit.NANOSECONDS.toMillis(deadline - gateway.ticker().nanos()));
         List<CallForm.Helper> readers = new ArrayList<>();
         if (!reservation.isEmpty()) {
             readers.add(new CallForm.Helper(at, reservation));
@@ -226,9 +222,9 @@
                         Map.entry("reserved", !reservation.isEmpty()),
                         Map.entry("attempt", tried.size()),
                         Map.entry("tokens", demand.promptTokens()),
-                        Map.entry("waited_ms", (gateway.ticker().nanos() - arrived) / 1_000_000));
+                        Map.entry("waited_ms", elapsedMs()));
         String after = events == null ? "" : events.lastId();
-        CallForm.Attempt form = new CallForm.Attempt(at, customer.map(Customer::id), leftMs, after, readers);
+        CallForm.Attempt form = new CallForm.Attempt(at, customer.map(Customer::id), leftMs(), after, readers);
         made.plannedFirstMs =
                 place.firstMs() - place.endpoint().delayMs(gateway.ticker().nanos());
         made.sentAt = gateway.ticker().nanos();
@@ -398,7 +394,7 @@
                         Map.entry("objective_ms", route.objectiveMs()),
                         Map.entry("longest_gap_ms", longestGap / 1_000_000),
                         Map.entry("gap_bound_ms", route.gapMs()),
-                        Map.entry("ms", (gateway.ticker().nanos() - arrived) / 1_000_000));
+                        Map.entry("ms", elapsedMs()));
         endAttempt();
         finish();
         if (!begun) {
@@ -441,14 +437,7 @@
             return;
         }
         endAttempt();
-        if (begun) {
-            finish();
-            caller.abort();
-        } else if (mayHaveRun) {
-            end(502, reason, -1);
-        } else {
-            refuseUnplaced(reason, RETRY_AFTER_MS);
-        }
+        refuseUnplaced(reason, RETRY_AFTER_MS);
     }
 
     private boolean tryAgain(String reason) {
@@ -489,29 +478,39 @@
         gateway.log().call("deadline reached", call, Map.entry("begun", begun), Map.entry("arrivals", arrivals));
         boolean sent = attempt != null;
         endAttempt();
-        if (begun) {
-            finish();
-            caller.abort();
-        } else if (sent || mayHaveRun) {
-            end(504, "the deadline passed", -1);
+        if (sent || mayHaveRun) {
+            giveUp(504, "the deadline passed", -1);
         } else {
-            refuse(503, "the deadline passed before an endpoint had room", -1);
+            giveUp(503, "the deadline passed before an endpoint had room", -1);
         }
     }
 
     private void refuseUnplaced(String reason, long retryAfterMs) {
+        if (mayHaveRun) {
+            giveUp(502, reason, -1);
+        } else {
+            giveUp(503, reason, retryAfterMs);
+        }
+    }
+
+    /** Ends a call that no endpoint answers: with the status, or by breaking an answer off that has begun. */
+    private void giveUp(int status, String reason, long retryAfterMs) {
         if (begun) {
             finish();
             caller.abort();
-        } else if (mayHaveRun) {
-            end(502, reason, -1);
         } else {
-            refuse(503, reason, retryAfterMs);
+            end(status, reason, retryAfterMs);
         }
     }
 
-    private void refuse(int status, String reason, long retryAfterMs) {
-        end(status, reason, retryAfterMs);
+    private long elapsedMs() {
+        return (gateway.ticker().nanos() - arrived) / 1_000_000;
+    }
+
+    /** Returns the time until the deadline, at least a millisecond. */
+    private long leftMs() {
+        return Math.max(
+                1, TimeUnit.NANOSECONDS.toMillis(deadline - gateway.ticker().nanos()));
     }
 
     private void end(int status, String reason, long retryAfterMs) {
@@ -522,11 +521,9 @@
                             call,
                             Map.entry("status", status),
                             Map.entry("reason", reason),
-                            Map.entry(
-                                    "catalog",
-                                    gateway.catalog().map(Catalog::version).orElse(0L)),
+                            Map.entry("catalog", gateway.configuration()),
                             Map.entry("contact_age_ms", gateway.contact().ageMs()),
-                            Map.entry("ms", (gateway.ticker().nanos() - arrived) / 1_000_000));
+                            Map.entry("ms", elapsedMs()));
         }
         finish();
         caller.answer(gateway.refusal(status, reason, Optional.ofNullable(call).map(Call::id), retryAfterMs));
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -26,6 +26,7 @@
 import org.jujuberouter.catalog.Catalog;
 import org.jujuberouter.control.ControlFact;
 import org.jujuberouter.control.FeedListener;
+import org.jujuberouter.control.StoreFeed;
 import org.jujuberouter.dispatch.EndpointState;
 import org.jujuberouter.dispatch.Fleet;
 import org.jujuberouter.dispatch.Placer;
@@ -48,9 +49,6 @@
     /** Time over which instances spread their look at a place that became free. */
     private static final long LOOK_SPREAD_MS = 9;
 
-    /** Time after which a registration that lapsed while the store was away is taken as gone (the users' letter). */
-    private static final long LAPSED_GRACE_MS = 1_900;
-
     private final GatewayOptions options;
     private final EventLoop loop;
     private final CallForm form;
@@ -316,7 +314,7 @@
     public void onRemoved(String key, ControlFact fact, boolean seenLive) {
         switch (fact) {
             case ControlFact.Registration r -> {
-                fleet.remove(r.endpoint().id(), seenLive ? 0 : LAPSED_GRACE_MS);
+                fleet.remove(r.endpoint().id(), seenLive ? 0 : StoreFeed.RETURN_GRACE_MS);
                 log.belief("endpoint gone", Map.entry("endpoint", r.endpoint().id()), Map.entry("seen_live", seenLive));
             }
             case ControlFact.Evacuation e -> {
--- a/src/main/java/org/jujuberouter/gateway/PeerShare.java
+++ b/src/main/java/org/jujuberouter/gateway/PeerShare.java
@@ -7,8 +7,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.jujuberouter.dispatch.Work;
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
@@ -180,25 +180,24 @@
 
     private void sweep() {
         long now = ticker.nanos();
-        List<RequestId> late = others.entrySet().stream()
-                .filter(e -> e.getValue().endsAt < now)
-                .map(Map.Entry::getKey)
-                .toList();
-        late.forEach(this::forget);
-        if (gateway.contact().ageMs() > ASK_PEERS_AGE_MS || gateway.contact().ageMs() < 0) {
+        forgetThose(p -> p.endsAt < now);
+        long age = gateway.contact().ageMs();
+        if (age > ASK_PEERS_AGE_MS || age < 0) {
             network.broadcast(new PeerMessage.ContactQuery(now));
         }
     }
 
     /** Drops the work of a peer that has ended: its connections to endpoints ended with it. */
     void peerGone(InstanceId peer) {
-        Set<RequestId> left = new java.util.HashSet<>();
-        others.forEach((id, p) -> {
-            if (p.holder.equals(peer)) {
-                left.add(id);
-            }
-        });
-        left.forEach(this::forget);
+        forgetThose(p -> p.holder.equals(peer));
+    }
+
+    private void forgetThose(Predicate<Placed> which) {
+        List<RequestId> found = others.entrySet().stream()
+                .filter(e -> which.test(e.getValue()))
+                .map(Map.Entry::getKey)
+                .toList();
+        found.forEach(this::forget);
     }
 
     private void send(InstanceId to, PeerMessage message) {
--- a/src/main/java/org/jujuberouter/gateway/ServingBounds.java
+++ b/src/main/java/org/jujuberouter/gateway/ServingBounds.java
@@ -8,14 +8,5 @@
  * @param retryRatio retries allowed for each request, summed over all instances
  * @param retrySlack retries allowed besides, in one window, summed over all instances
  * @param retryWindowMs length of that window, in milliseconds
- * @param stallMs time after which an engine gives up work that depends on a dead one, in milliseconds
- * @param reserveMs longest time for which memory can be reserved, in milliseconds
  */
-public record ServingBounds(
-        long withdrawalMs,
-        long stopMs,
-        double retryRatio,
-        int retrySlack,
-        long retryWindowMs,
-        long stallMs,
-        long reserveMs) {}
+public record ServingBounds(long withdrawalMs, long stopMs, double retryRatio, int retrySlack, long retryWindowMs) {}
--- a/src/main/java/org/jujuberouter/http/CallListener.java
+++ b/src/main/java/org/jujuberouter/http/CallListener.java
@@ -5,9 +5,6 @@
 
 /** Receives what happens to one {@link ClientCall}, on its event loop; nothing follows {@code onEnd} or {@code onFailure}. */
 public interface CallListener {
-    /** The whole request has been handed to the connection. */
-    default void onSent() {}
-
     /** Takes the head of an answer and tells whether it belongs to the call; an answer that does not is skipped. */
     boolean onHead(HttpResponse head);
 
--- a/src/main/java/org/jujuberouter/http/ClientCall.java
+++ b/src/main/java/org/jujuberouter/http/ClientCall.java
@@ -1,14 +1,11 @@
 package org.jujuberouter.http;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -47,20 +44,13 @@
             FullHttpRequest request,
             CallListener listener) {
         ClientCall call = new ClientCall(listener);
-        Bootstrap bootstrap = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel ch) {
-                        ch.pipeline()
-                                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                                .addLast(call.new Handler());
-                    }
-                });
-        ChannelFuture opening = bootstrap.connect(to);
+        ChannelFuture opening = Dialer.dial(
+                loop,
+                to,
+                connectTimeoutMs,
+                ch -> ch.pipeline()
+                        .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                        .addLast(call.new Handler()));
         call.channel = opening.channel();
         opening.addListener(f -> call.onConnect(f.isSuccess(), f.cause(), request));
         return call;
@@ -88,11 +78,7 @@
             fail(CallFailure.Kind.CONNECT, String.valueOf(cause.getMessage()));
         } else {
             connected = true;
-            channel.writeAndFlush(request).addListener(f -> {
-                if (f.isSuccess() && !over) {
-                    listener.onSent();
-                }
-            });
+            channel.writeAndFlush(request);
         }
     }
 
--- /dev/null
+++ b/src/main/java/org/jujuberouter/http/Dialer.java
@@ -0,0 +1,32 @@
+package org.jujuberouter.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+
+/** Opens connections, all with the same options. */
+final class Dialer {
+    private Dialer() {}
+
+    /** Opens a connection whose channel is prepared by the given action. */
+    static ChannelFuture dial(EventLoop loop, InetSocketAddress to, int timeoutMs, Consumer<Channel> prepare) {
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        prepare.accept(ch);
+                    }
+                })
+                .connect(to);
+    }
+}
--- a/src/main/java/org/jujuberouter/http/JsonClient.java
+++ b/src/main/java/org/jujuberouter/http/JsonClient.java
@@ -2,16 +2,14 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufInputStream;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -95,21 +93,15 @@
     }
 
     private void connect(Pending call) {
-        Bootstrap bootstrap = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel ch) {
-                        ch.pipeline()
-                                .addLast(new HttpClientCodec())
-                                .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
-                                .addLast(new Handler());
-                    }
-                });
-        bootstrap.connect(address).addListener((io.netty.channel.ChannelFutureListener) f -> {
+        ChannelFuture opening = Dialer.dial(
+                loop,
+                address,
+                CONNECT_TIMEOUT_MS,
+                ch -> ch.pipeline()
+                        .addLast(new HttpClientCodec())
+                        .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
+                        .addLast(new Handler()));
+        opening.addListener((ChannelFutureListener) f -> {
             if (current != call) {
                 f.channel().close();
             } else if (f.isSuccess()) {
--- a/src/main/java/org/jujuberouter/platform/NodeFile.java
+++ b/src/main/java/org/jujuberouter/platform/NodeFile.java
@@ -50,8 +50,6 @@
                 Math.round(b.path("GraceS").asDouble(8) * 1_000),
                 b.path("RetryBudgetRatio").asDouble(0.1),
                 b.path("BudgetSlack").asInt(10),
-                Math.round(b.path("BudgetWindowS").asDouble(10) * 1_000),
-                b.path("stall_ms").asLong(1_500),
-                b.path("MaxHoldMs").asLong(20_000));
+                Math.round(b.path("BudgetWindowS").asDouble(10) * 1_000));
     }
 }
--- a/src/test/java/org/jujuberouter/gateway/GatewayTest.java
+++ b/src/test/java/org/jujuberouter/gateway/GatewayTest.java
@@ -278,33 +278,11 @@
 
     @Test
     void countsTheWorkOfAPeer() throws Exception {
-        InetSocketAddress second = startInstance("second");
-        URI other = URI.create("http://127.0.0.1:" + second.getPort());
-        HttpRequest warm = StandinSite.request(other.resolve("/read/x"), "warm")
-                .POST(HttpRequest.BodyPublishers.ofString("x"))
-                .build();
-        await(() -> client.sendAsync(warm, HttpResponse.BodyHandlers.discarding())
-                        .join()
-                        .statusCode()
-                == 200);
+        URI other = startSecondInstance();
         // Two ledgers: whichever instance a call comes to, it goes to the one that no other call hangs at.
-        site.ledgers().forEach(e -> e.setBehaviour(Behaviour.HANG));
-        CompletableFuture<HttpResponse<String>> hanging =
-                CompletableFuture.supplyAsync(() -> send("/read/x", "hanging"));
-        await(() -> runs("hanging") == 1);
-        site.ledgers().forEach(e -> e.setBehaviour(Behaviour.ANSWER));
-        EngineStandin busy = site.ledgers().stream()
-                .filter(e -> e.runs().contains("hanging"))
-                .findFirst()
-                .orElseThrow();
-        HttpRequest next = StandinSite.request(other.resolve("/read/x"), "next")
-                .POST(HttpRequest.BodyPublishers.ofString("x"))
-                .build();
-        assertEquals(
-                200,
-                client.sendAsync(next, HttpResponse.BodyHandlers.discarding())
-                        .join()
-                        .statusCode());
+        CompletableFuture<HttpResponse<String>> hanging = hangAtOneLedger();
+        EngineStandin busy = ledgerThatRan("hanging");
+        assertEquals(200, statusAt(other, "next"));
         assertFalse(busy.runs().contains("next"));
         hanging.join();
     }
@@ -312,17 +290,9 @@
     /** The calls that a stopping instance still serves occupy their endpoints until they end. */
     @Test
     void countsTheWorkOfAPeerThatIsStopping() throws Exception {
-        URI other = URI.create("http://127.0.0.1:" + startInstance("second").getPort());
-        await(() -> statusAt(other, "warm-" + calls++) == 200);
-        site.ledgers().forEach(e -> e.setBehaviour(Behaviour.HANG));
-        CompletableFuture<HttpResponse<String>> hanging =
-                CompletableFuture.supplyAsync(() -> send("/read/x", "hanging"));
-        await(() -> runs("hanging") == 1);
-        site.ledgers().forEach(e -> e.setBehaviour(Behaviour.ANSWER));
-        EngineStandin busy = site.ledgers().stream()
-                .filter(e -> e.runs().contains("hanging"))
-                .findFirst()
-                .orElseThrow();
+        URI other = startSecondInstance();
+        CompletableFuture<HttpResponse<String>> hanging = hangAtOneLedger();
+        EngineStandin busy = ledgerThatRan("hanging");
         CompletableFuture<Void> stop =
                 CompletableFuture.runAsync(() -> daemons.getFirst().close());
         Thread.sleep(500);
@@ -334,6 +304,29 @@
         hanging.join();
     }
 
+    private URI startSecondInstance() throws Exception {
+        URI second = URI.create("http://127.0.0.1:" + startInstance("second").getPort());
+        await(() -> statusAt(second, "warm-" + calls++) == 200);
+        return second;
+    }
+
+    /** Sends a call that hangs at one ledger, and lets the ledgers answer all that come later. */
+    private CompletableFuture<HttpResponse<String>> hangAtOneLedger() throws Exception {
+        site.ledgers().forEach(e -> e.setBehaviour(Behaviour.HANG));
+        CompletableFuture<HttpResponse<String>> hanging =
+                CompletableFuture.supplyAsync(() -> send("/read/x", "hanging"));
+        await(() -> runs("hanging") == 1);
+        site.ledgers().forEach(e -> e.setBehaviour(Behaviour.ANSWER));
+        return hanging;
+    }
+
+    private EngineStandin ledgerThatRan(String id) {
+        return site.ledgers().stream()
+                .filter(e -> e.runs().contains(id))
+                .findFirst()
+                .orElseThrow();
+    }
+
     private int statusAt(URI instance, String id) {
         HttpRequest request = StandinSite.request(instance.resolve("/read/x"), id)
                 .POST(HttpRequest.BodyPublishers.ofString("x"))
--- a/src/test/java/org/jujuberouter/process/ChildProcess.java
+++ b/src/test/java/org/jujuberouter/process/ChildProcess.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -20,8 +21,7 @@
 
     /** Starts a subcommand and waits for the line that gives its address. */
     static ChildProcess start(String... arguments) throws IOException {
-        List<String> command = new ArrayList<>(List.of(System.getProperty("jujuberouter.binary")));
-        command.addAll(List.of(arguments));
+        List<String> command = command(arguments);
         Process process = new ProcessBuilder(command)
                 .redirectError(ProcessBuilder.Redirect.INHERIT)
                 .start();
@@ -34,6 +34,21 @@
         return new ChildProcess(process, line);
     }
 
+    /** Starts a subcommand that gives no address; what it writes goes to the file. */
+    static ChildProcess startWriting(Path output, String... arguments) throws IOException {
+        Process process = new ProcessBuilder(command(arguments))
+                .redirectErrorStream(true)
+                .redirectOutput(output.toFile())
+                .start();
+        return new ChildProcess(process, "");
+    }
+
+    private static List<String> command(String... arguments) {
+        List<String> command = new ArrayList<>(List.of(System.getProperty("jujuberouter.binary")));
+        command.addAll(List.of(arguments));
+        return command;
+    }
+
     /** Returns host and port from the first line. */
     String address() {
         return firstLine.replaceFirst("^.*? at (http:/+)?", "").replaceFirst("[,/ ].*", "");
--- a/src/test/java/org/jujuberouter/process/ServeTest.java
+++ b/src/test/java/org/jujuberouter/process/ServeTest.java
@@ -1,7 +1,6 @@
 package org.jujuberouter.process;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
@@ -16,30 +15,31 @@
 /** Runs an instance on the users' platform as the real program. */
 @Tag("process")
 class ServeTest {
-    private static final String BINARY = System.getProperty("jujuberouter.binary", "target/jujuberouter");
-
     @TempDir
     private Path files;
 
+    private Path node() {
+        return files.resolve("node.json");
+    }
+
+    private Path output() {
+        return files.resolve("output");
+    }
+
+    private ChildProcess serve() throws Exception {
+        return ChildProcess.startWriting(output(), "serve", "--node-file", node().toString());
+    }
+
     @Test
     void endsWithCodeZeroWhenToldToStopAndLogsIt() throws Exception {
         try (StandinSite site = StandinSite.start(1, 1, 1)) {
-            Path node = files.resolve("node.json");
-            int port = site.writeNodeFile(node, "one").getPort();
-            Path output = files.resolve("output");
-            Process process = new ProcessBuilder(BINARY, "serve", "--node-file", node.toString())
-                    .redirectErrorStream(true)
-                    .redirectOutput(output.toFile())
-                    .start();
-            try {
+            int port = site.writeNodeFile(node(), "one").getPort();
+            try (ChildProcess process = serve()) {
                 awaitPort(port);
-                process.destroy();
-                assertTrue(process.waitFor(15, TimeUnit.SECONDS), "the process did not end");
-                assertEquals(0, process.exitValue());
-                String log = Files.readString(output);
+                process.signal("TERM");
+                assertEquals(0, process.awaitExit(15));
+                String log = Files.readString(output());
                 assertTrue(log.contains("[state] stopping"), log);
-            } finally {
-                process.destroyForcibly();
             }
         }
     }
@@ -47,44 +47,34 @@
     @Test
     void readsItsSettingsAgainOnSighupAndGoesOn() throws Exception {
         try (StandinSite site = StandinSite.start(1, 1, 1)) {
-            Path node = files.resolve("node.json");
-            int port = site.writeNodeFile(node, "one").getPort();
-            Path output = files.resolve("output");
-            Process process = new ProcessBuilder(BINARY, "serve", "--node-file", node.toString())
-                    .redirectErrorStream(true)
-                    .redirectOutput(output.toFile())
-                    .start();
-            try {
+            int port = site.writeNodeFile(node(), "one").getPort();
+            try (ChildProcess process = serve()) {
                 awaitPort(port);
                 hangUp(process);
-                Files.writeString(node, "not a settings file");
+                Files.writeString(node(), "not a settings file");
                 hangUp(process);
-                assertFalse(process.waitFor(5, TimeUnit.SECONDS), "the process ended");
-                String log = Files.readString(output);
+                Thread.sleep(5_000);
+                assertTrue(process.isAlive(), "the process ended");
+                String log = Files.readString(output());
                 assertTrue(log.contains("[state] settings read again"), log);
                 assertTrue(log.contains("[state] settings cannot be read"), log);
-            } finally {
-                process.destroyForcibly();
             }
         }
     }
 
-    private static void hangUp(Process process) throws Exception {
-        new ProcessBuilder("kill", "-HUP", String.valueOf(process.pid()))
-                .start()
-                .waitFor();
+    private static void hangUp(ChildProcess process) throws Exception {
+        process.signal("HUP");
         Thread.sleep(500);
     }
 
     @Test
     void saysWhatIsWrongWithTheSettingsAndEndsWithCodeOne() throws Exception {
-        Path node = Files.writeString(files.resolve("node.json"), "{\"Node\":\"one\"}");
-        Process process = new ProcessBuilder(BINARY, "serve", "--node-file", node.toString())
-                .redirectErrorStream(true)
-                .start();
-        String output = new String(process.getInputStream().readAllBytes());
-        assertEquals(1, process.waitFor());
-        assertTrue(output.contains("cannot read the settings"), output);
+        Files.writeString(node(), "{\"Node\":\"one\"}");
+        try (ChildProcess process = serve()) {
+            assertEquals(1, process.awaitExit(15));
+            String log = Files.readString(output());
+            assertTrue(log.contains("cannot read the settings"), log);
+        }
     }
 
     private static void awaitPort(int port) throws Exception {
