--- a/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
+++ b/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
@@ -1,5 +1,8 @@
 package org.jujuberouter.platform.standin;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.sun.net.httpserver.Headers;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
@@ -9,10 +12,15 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 import org.jujuberouter.misc.Json;
 
 /**
@@ -33,6 +41,8 @@
         HANG,
         /** Runs the request and pauses for a long time after some events, with the connection open. */
         STALL,
+        /** Runs the request to its end, but sends nothing more after some events, with the connection open. */
+        LOSE_CONNECTION,
         /** Runs the request and sends bytes without end that contain no event, after some events. */
         FLOOD,
         /** Runs the request and sends a byte now and then, without ever completing an event, after some events. */
@@ -41,6 +51,13 @@
         BREAK_LARGE_BODY
     }
 
+    /**
+     * Memory that is set aside.
+     *
+     * @param expiresAt end of the hold on the clock of {@link System#nanoTime}
+     */
+    private record Ticket(long tokens, long expiresAt) {}
+
     private static final int LARGE_BODY_BYTES = 600 << 10;
     private static final int FLOOD_CHUNK_BYTES = 16 << 10;
     private static final long TRICKLE_INTERVAL_MS = 100;
@@ -54,9 +71,13 @@
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final List<String> runs = new CopyOnWriteArrayList<>();
     private final List<String> memoryRequests = new CopyOnWriteArrayList<>();
+    private final Map<String, Ticket> tickets = new ConcurrentHashMap<>();
+    private final Set<String> usedTickets = ConcurrentHashMap.newKeySet();
     private final AtomicInteger abandonedStreams = new AtomicInteger();
     private final long eventGapMs;
     private volatile Behaviour behaviour = Behaviour.ANSWER;
+    private final Map<String, Long> orderDelaysMs = new ConcurrentHashMap<>();
+    private volatile boolean memoryFree = true;
 
     private EngineStandin(String id, HttpServer server, long eventGapMs) {
         this.id = id;
@@ -99,6 +120,30 @@
         return List.copyOf(memoryRequests);
     }
 
+    /** Leaves orders of an operation unanswered from now on and carries them out so much later; 0 answers them. */
+    public void setOrderDelay(String operation, long delayMs) {
+        orderDelaysMs.put(operation, delayMs);
+    }
+
+    /** Sets whether reserve orders are granted. */
+    public void setMemoryFree(boolean free) {
+        memoryFree = free;
+    }
+
+    /** Returns the ids of the reservations that hold memory. */
+    public Set<String> heldReservations() {
+        long now = System.nanoTime();
+        return tickets.entrySet().stream()
+                .filter(e -> e.getValue().expiresAt - now > 0)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
+    }
+
+    /** Returns the ids of the reservations that a request uses which this engine answers. */
+    public Set<String> usedReservations() {
+        return Set.copyOf(usedTickets);
+    }
+
     /** Returns the number of streams whose connection was closed before they ended. */
     public int abandonedStreams() {
         return abandonedStreams.get();
@@ -131,16 +176,24 @@
 
     private void serve(HttpExchange exchange) throws IOException {
         byte[] body = exchange.getRequestBody().readAllBytes();
+        Headers requestHeaders = exchange.getRequestHeaders();
+        Headers responseHeaders = exchange.getResponseHeaders();
+        String attempt = requestHeaders.getFirst("X-Jujuberouter-Attempt-Id");
+        if (attempt != null) {
+            responseHeaders.set("X-Jujuberouter-Attempt-Id", attempt);
+        }
+        String expected = requestHeaders.getFirst("X-Jujuberouter-Expect-Instance");
+        if (expected != null && !id.equals(expected)) {
+            reply(exchange, 421, "");
+            return;
+        }
         if (exchange.getRequestURI().getPath().equals("/v1/order")) {
             memoryRequests.add(new String(body, StandardCharsets.UTF_8));
-            reply(exchange, 200, "{\"Unallocated\":0}");
+            answerOrder(exchange, Json.MAPPER.readTree(body));
             return;
         }
-        Headers requestHeaders = exchange.getRequestHeaders();
-        Headers responseHeaders = exchange.getResponseHeaders();
-        responseHeaders.set("X-Jujuberouter-Attempt-Id", requestHeaders.getFirst("X-Jujuberouter-Attempt-Id"));
-        if (!id.equals(requestHeaders.getFirst("X-Jujuberouter-Expect-Instance"))) {
-            reply(exchange, 421, "");
+        if (exchange.getRequestURI().getPath().equals("/v1/report")) {
+            reply(exchange, 200, report());
             return;
         }
         if (behaviour == Behaviour.REFUSE) {
@@ -148,13 +201,19 @@
             reply(exchange, 503, "");
             return;
         }
-        runs.add(requestHeaders.getFirst("X-Jujuberouter-Attempt-Id"));
+        runs.add(attempt);
         responseHeaders.set("X-Jujuberouter-Response-Signature", "signed-" + id);
         if (behaviour == Behaviour.HANG) {
             pause(HANG_MS);
         }
         if (exchange.getRequestURI().getPath().endsWith("/stream")) {
-            stream(exchange, requestHeaders.getFirst("Last-Event-Id"));
+            String ticket = ownTicket(requestHeaders);
+            usedTickets.add(ticket);
+            try {
+                stream(exchange, requestHeaders.getFirst("Last-Event-Id"), ticket);
+            } finally {
+                usedTickets.remove(ticket);
+            }
         } else if (behaviour == Behaviour.BREAK_LARGE_BODY) {
             exchange.sendResponseHeaders(200, LARGE_BODY_BYTES);
             exchange.getResponseBody().write(new byte[LARGE_BODY_BYTES / 2]);
@@ -167,7 +226,47 @@
         }
     }
 
-    private void stream(HttpExchange exchange, String after) throws IOException {
+    private void answerOrder(HttpExchange exchange, JsonNode order) throws IOException {
+        long delayMs = orderDelaysMs.getOrDefault(order.path("Operation").asText(), 0L);
+        if (delayMs > 0) {
+            pause(delayMs);
+            carryOut(order);
+            throw new IOException("order left unanswered as configured");
+        }
+        reply(exchange, carryOut(order) ? 200 : 409, "{\"Unallocated\":0}");
+    }
+
+    private boolean carryOut(JsonNode order) {
+        String ticket = order.path("Id").asText();
+        if (order.path("Operation").asText().equals("release")) {
+            tickets.remove(ticket);
+            return true;
+        }
+        if (memoryFree) {
+            long holdNanos = TimeUnit.MILLISECONDS.toNanos(order.path("HoldMs").asLong());
+            tickets.put(ticket, new Ticket(order.path("TokenCount").asLong(), System.nanoTime() + holdNanos));
+        }
+        return memoryFree;
+    }
+
+    private String report() {
+        ObjectNode report = Json.MAPPER.createObjectNode().put("Phase", "unified");
+        ArrayNode listed = report.putArray("Tickets");
+        tickets.forEach((ticket, held) -> listed.addObject()
+                .put("Id", ticket)
+                .put("TokenCount", held.tokens)
+                .put("State", usedTickets.contains(ticket) ? "used" : "held"));
+        return report.toString();
+    }
+
+    /** Returns the ticket of the request at the engine that answers it, which is listed first; empty if it has none. */
+    private static String ownTicket(Headers requestHeaders) {
+        String helpers = requestHeaders.getFirst("X-Jujuberouter-Helpers");
+        String first = helpers == null ? "" : helpers.split(",")[0];
+        return first.substring(first.indexOf('/') + 1);
+    }
+
+    private void stream(HttpExchange exchange, String after, String ticket) throws IOException {
         int first = after == null ? 1 : Integer.parseInt(after) + 1;
         exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
         exchange.sendResponseHeaders(200, 0);
@@ -186,6 +285,10 @@
                 if (behaviour == Behaviour.TRICKLE && i == first + EVENTS_BEFORE_BREAK) {
                     writeUntilClosed(out, 1, TRICKLE_INTERVAL_MS);
                 }
+                if (behaviour == Behaviour.LOSE_CONNECTION && i == first + EVENTS_BEFORE_BREAK) {
+                    usedTickets.remove(ticket);
+                    pause(HANG_MS);
+                }
                 if (behaviour == Behaviour.STALL && i == first + EVENTS_BEFORE_BREAK) {
                     pause(HANG_MS);
                 }
--- a/src/main/java/org/jujuberouter/platform/standin/StandinSite.java
+++ b/src/main/java/org/jujuberouter/platform/standin/StandinSite.java
@@ -81,6 +81,12 @@
                 .put("StreamResume", true)
                 .put("TargetGapMs", 250)
                 .put("MaxAttempts", 2);
+        // Callers wait long for the first event of a very long prompt.
+        route(routes, "/history/", "streaming", ENGINES)
+                .put("StreamResume", true)
+                .put("TargetGapMs", 1_000)
+                .put("TargetLatencyMs", 5_000)
+                .put("TimeoutMs", 20_000);
         route(routes, "/post/", "non_idempotent", LEDGERS).put("MaxAttempts", 1);
         route(routes, "/read/", "idempotent", LEDGERS);
         ArrayNode services = config.putArray("Services");
