--- a/src/main/java/org/jujuberouter/catalog/RequestHead.java
+++ b/src/main/java/org/jujuberouter/catalog/RequestHead.java
@@ -1,5 +1,6 @@
 package org.jujuberouter.catalog;
 
+import java.util.List;
 import java.util.OptionalLong;
 import org.jujuberouter.id.RequestId;
 
@@ -13,6 +14,8 @@
  * @param deadlineMs time that the caller waits after sending the request, in milliseconds
  * @param promptTokens length of the prompt in tokens; 0 for a request without a prompt
  * @param outputTokens maximum number of tokens to generate
+ * @param sharedParts the ids of the parts of the prompt that other requests may share, in order; without the last part,
+ *     which belongs to the request or its session
  * @param resumeAfter the id of the last event that the caller received; empty at the start of a stream
  */
 public record RequestHead(
@@ -23,4 +26,10 @@
         OptionalLong deadlineMs,
         long promptTokens,
         long outputTokens,
-        String resumeAfter) {}
+        List<String> sharedParts,
+        String resumeAfter) {
+    /** Copies the list. */
+    public RequestHead {
+        sharedParts = List.copyOf(sharedParts);
+    }
+}
--- a/src/main/java/org/jujuberouter/gateway/CallTelemetry.java
+++ b/src/main/java/org/jujuberouter/gateway/CallTelemetry.java
@@ -155,13 +155,17 @@
         logWarning("not run", Map.entry("endpoint", endpoint.id()), Map.entry("status", status));
     }
 
-    void attemptFailed(Endpoint endpoint, CallFailure failure) {
+    /** Logs a failed attempt, with what tells which request an endpoint that crashed had begun to answer. */
+    void attemptFailed(Endpoint endpoint, CallFailure failure, boolean begun, int events) {
         gateway.metrics().attempt(service, failure.kind().name());
         logWarning(
                 "attempt failed",
                 Map.entry("endpoint", endpoint.id()),
                 Map.entry("kind", failure.kind()),
                 Map.entry("sent", failure.sent()),
+                Map.entry("begun", begun),
+                Map.entry("events", events),
+                Map.entry("parts", String.join(",", call.sharedParts())),
                 Map.entry("detail", failure.detail()));
     }
 
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -1,12 +1,8 @@
 package org.jujuberouter.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -39,9 +35,6 @@
  * fails with 502 or 504 instead.
  */
 final class Exchange {
-    /** Largest response that is buffered until it is complete; a larger one is streamed as it arrives. */
-    private static final int MAX_BUFFERED_RESPONSE_BYTES = 256 << 10;
-
     /** Endpoints are a few milliseconds away; the rest of the shortest objective still suffices for a short prompt. */
     private static final int CONNECT_TIMEOUT_MS = 200;
 
@@ -64,6 +57,7 @@
     private final HttpRequest head;
     private final ByteBuf body;
     private final CallTelemetry telemetry;
+    private final ResponseRelay response;
     private final Set<EndpointId> triedEndpoints = new HashSet<>();
     private RequestHead call;
     private Route route;
@@ -77,10 +71,6 @@
     private int attemptsReceived;
     private int reservations;
     private Attempt attempt;
-    private boolean responseStarted;
-    private EventSplitter events;
-    private ByteBuf bufferedBody;
-    private HttpResponse responseHead;
 
     Exchange(Gateway gateway, CallerConnection caller, HttpRequest head, ByteBuf body) {
         this.gateway = gateway;
@@ -88,6 +78,7 @@
         this.head = head;
         this.body = body;
         this.telemetry = new CallTelemetry(gateway);
+        this.response = ResponseRelay.to(caller, () -> callerWritable(false));
     }
 
     void start() {
@@ -237,9 +228,8 @@
         }
         placement.helpers().forEach(h -> helpers.add(new CallCodec.Helper(h.registration(), reservation)));
         telemetry.sent(placement, !reservation.isEmpty(), triedEndpoints.size());
-        String after = events == null ? "" : events.lastId();
-        CallCodec.Attempt outgoing =
-                new CallCodec.Attempt(endpoint, customer.map(Customer::id), remainingMs(), after, helpers);
+        CallCodec.Attempt outgoing = new CallCodec.Attempt(
+                endpoint, customer.map(Customer::id), remainingMs(), response.lastEventId(), helpers);
         thisAttempt.predictedFirstEventMs = placement.predictedFirstEventMs()
                 - placement.endpoint().expectedDelayMs(gateway.ticker().nanos());
         thisAttempt.sentNanos = gateway.ticker().nanos();
@@ -296,6 +286,7 @@
         private long bodyChangedNanos;
         private boolean readPaused;
         private boolean received;
+        private int eventBatches;
 
         /** Returns for how long the endpoint has sent nothing; 0 while it may not send because of a slow caller. */
         private long silentForMs() {
@@ -314,8 +305,8 @@
         }
 
         @Override
-        public boolean onHead(HttpResponse response) {
-            return this == attempt && onResponseHead(response);
+        public boolean onHead(HttpResponse head) {
+            return this == attempt && onResponseHead(head);
         }
 
         @Override
@@ -344,8 +335,8 @@
     }
 
     /** Decides whether a response is streamed, buffered or replaced by another attempt; returns whether to read it. */
-    private boolean onResponseHead(HttpResponse response) {
-        CallCodec.Answer answer = gateway.codec().read(response);
+    private boolean onResponseHead(HttpResponse received) {
+        CallCodec.Answer answer = gateway.codec().read(received);
         if (!answer.id().isEmpty() && !answer.id().equals(call.id().value())) {
             telemetry.logWarning("skipped an answer to another call", Map.entry("other", answer.id()));
             return false;
@@ -365,23 +356,17 @@
         }
         if (answer.status() >= 500) {
             gateway.endpointFailed(attempt.endpoint);
-            if (route.retryPolicy().isRetryable() && !responseStarted && retry("status " + answer.status())) {
+            if (route.retryPolicy().isRetryable() && !response.hasStarted() && retry("status " + answer.status())) {
                 return false;
             }
         }
-        if (responseStarted) {
+        if (response.hasStarted()) {
             if (!success) {
                 retryOrFail("status " + answer.status() + " where the stream was to go on");
             }
             return success;
         }
-        responseHead = ConnectionHeaders.withoutThem(response);
-        if (success && route.retryPolicy().isStream()) {
-            events = EventSplitter.after(call.resumeAfter());
-            startResponse();
-        } else {
-            bufferedBody = Unpooled.buffer(1024);
-        }
+        response.begin(received, success && route.retryPolicy().isStream(), call.resumeAfter());
         return true;
     }
 
@@ -402,71 +387,35 @@
     }
 
     private void relayBody(ByteBuf piece) {
-        if (responseStarted && events != null) {
-            ByteBuf complete;
-            try {
-                complete = events.feed(piece);
-            } catch (MalformedResponseException e) {
-                retryOrFail(e.getMessage());
-                return;
-            }
-            if (complete.isReadable()) {
+        if (!response.canContinue()) {
+            // In a plain body, each byte is progress; in a stream, only a complete event is.
+            attempt.bodyChangedNanos = gateway.ticker().nanos();
+        }
+        try {
+            if (response.relay(piece)) {
+                attempt.eventBatches++;
                 if (telemetry.recordEvents()) {
                     gateway.firstEventReceived(
                             call.id(),
                             attempt.endpoint,
                             attempt.delayMs(gateway.ticker().nanos()));
                 }
-                if (!caller.writeChunk(complete)) {
-                    callerWritable(false);
-                }
-            }
-        } else if (responseStarted) {
-            attempt.bodyChangedNanos = gateway.ticker().nanos();
-            if (!caller.writeChunk(piece.copy())) {
-                callerWritable(false);
-            }
-        } else {
-            bufferedBody.writeBytes(piece);
-            if (bufferedBody.readableBytes() > MAX_BUFFERED_RESPONSE_BYTES) {
-                startResponse();
-                caller.writeChunk(bufferedBody);
-                bufferedBody = null;
             }
+        } catch (MalformedResponseException e) {
+            retryOrFail(e.getMessage());
         }
     }
 
-    private void startResponse() {
-        responseStarted = true;
-        HttpUtil.setTransferEncodingChunked(responseHead, true);
-        caller.writeHead(responseHead);
-    }
-
     private void completeResponse() {
         attempt.endpoint.recordSuccess();
-        telemetry.answered(
-                attempt.endpoint.registration(), responseHead.status().code(), route);
+        telemetry.answered(attempt.endpoint.registration(), response.status(), route);
         endAttempt();
         finish();
-        if (!responseStarted) {
-            DefaultFullHttpResponse complete =
-                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, responseHead.status(), bufferedBody);
-            complete.headers().set(responseHead.headers());
-            HttpUtil.setContentLength(complete, bufferedBody.readableBytes());
-            caller.writeResponse(complete);
-            return;
-        }
-        if (events != null) {
-            ByteBuf remainder = events.takeRemainder();
-            if (remainder.isReadable()) {
-                caller.writeChunk(remainder);
-            }
-        }
-        caller.endResponse();
+        response.complete();
     }
 
     private void onAttemptFailed(CallFailure failure) {
-        telemetry.attemptFailed(attempt.endpoint.registration(), failure);
+        telemetry.attemptFailed(attempt.endpoint.registration(), failure, attempt.received, attempt.eventBatches);
         if (failure.sent()) {
             recordReceived();
         }
@@ -485,8 +434,7 @@
     }
 
     private boolean retry(String reason) {
-        if (responseStarted && events == null) {
-            // A plain body that the caller has received in part cannot be continued by another endpoint.
+        if (!response.canContinue()) {
             return false;
         }
         boolean allowed = !mayHaveRun || attemptsReceived < route.maxAttempts() && gateway.tryRetry(service.name());
@@ -495,10 +443,7 @@
         }
         telemetry.logWarning("tries another endpoint", Map.entry("reason", reason));
         endAttempt();
-        if (events != null) {
-            events.discardPartialEvent();
-        }
-        bufferedBody = null;
+        response.discardIncomplete();
         placeOrEnqueue();
         return true;
     }
@@ -515,7 +460,7 @@
     /** Cancels the call after its caller closed the connection. */
     void callerDisconnected() {
         if (!finished) {
-            telemetry.callerDisconnected(mayHaveRun || attempt != null, responseStarted);
+            telemetry.callerDisconnected(mayHaveRun || attempt != null, response.hasStarted());
             endAttempt();
             finish();
         }
@@ -526,7 +471,7 @@
             return;
         }
         telemetry.logWarning(
-                "deadline reached", Map.entry("begun", responseStarted), Map.entry("arrivals", attemptsReceived));
+                "deadline reached", Map.entry("begun", response.hasStarted()), Map.entry("arrivals", attemptsReceived));
         boolean sent = attempt != null;
         endAttempt();
         if (sent || mayHaveRun) {
@@ -546,7 +491,7 @@
 
     /** Fails the call: with an error response, or by closing the connection if the response has started. */
     private void failCall(int status, String reason, long retryAfterMs) {
-        if (responseStarted) {
+        if (response.hasStarted()) {
             telemetry.responseAborted(status, reason);
             finish();
             caller.abort();
--- a/src/main/java/org/jujuberouter/platform/PlatformCallCodec.java
+++ b/src/main/java/org/jujuberouter/platform/PlatformCallCodec.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -24,6 +25,11 @@
     private static final String BEARER = "Bearer ";
     private static final int MISDIRECTED_REQUEST = 421;
 
+    /** Number of parts of a prompt that are taken into account, so that a caller cannot make this state grow. */
+    private static final int MAX_SHARED_PARTS = 16;
+
+    private static final String PART_ID = "[0-9a-fA-F]{1,64}";
+
     /** Hop-by-hop headers (RFC 9110, section 7.6.1), in addition to those that the Connection header names. */
     private static final List<String> HOP_BY_HOP_HEADERS = List.of(
             "connection", "keep-alive", "proxy-connection", "transfer-encoding", "te", "trailer", "upgrade", "expect");
@@ -62,6 +68,7 @@
                         : OptionalLong.of(number(PlatformHeaders.DEADLINE_MS, deadline)),
                 number(PlatformHeaders.TOKEN_USAGE, usage[0]),
                 number(PlatformHeaders.TOKEN_USAGE, usage[1]),
+                sharedParts(h.get(PlatformHeaders.PREFIX_HASH, "")),
                 h.get(PlatformHeaders.LAST_EVENT_ID, ""));
     }
 
@@ -128,6 +135,19 @@
         }
     }
 
+    /** Returns the ids of all parts but the last; ids that are not hexadecimal are left out. */
+    private static List<String> sharedParts(String header) {
+        String[] parts = header.split(",");
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < Math.min(parts.length - 1, MAX_SHARED_PARTS); i++) {
+            String id = parts[i].strip().split(":")[0];
+            if (id.matches(PART_ID)) {
+                ids.add(id);
+            }
+        }
+        return ids;
+    }
+
     private static long number(String header, String text) throws MalformedRequestException {
         try {
             return Long.parseLong(text.strip());
--- a/src/main/java/org/jujuberouter/platform/PlatformHeaders.java
+++ b/src/main/java/org/jujuberouter/platform/PlatformHeaders.java
@@ -17,6 +17,9 @@
     /** Prompt tokens and maximum output tokens, separated by a comma. */
     static final String TOKEN_USAGE = "X-Jujuberouter-Token-Usage";
 
+    /** The parts of the prompt in order, each as ID:TOKENS; the last one belongs to the request or its session. */
+    static final String PREFIX_HASH = "X-Jujuberouter-Prefix-Hash";
+
     /** Signature of the endpoint on its response. */
     static final String SIGNATURE = "X-Jujuberouter-Response-Signature";
 
