--- a/src/main/java/org/jujuberouter/control/ControlEntry.java
+++ b/src/main/java/org/jujuberouter/control/ControlEntry.java
@@ -5,6 +5,7 @@
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.id.RequestTrait;
 
 /** The decoded value of a key in the store. */
 public sealed interface ControlEntry {
@@ -20,6 +21,9 @@
     /** A live instance and the address on which its peers connect to it. */
     record Peer(InstanceId instance, InetSocketAddress address) implements ControlEntry {}
 
+    /** The conviction of a trait whose requests crash endpoints. */
+    record Conviction(RequestTrait trait) implements ControlEntry {}
+
     /** A value that cannot be decoded or has an unsupported key. */
     record Unreadable(String reason) implements ControlEntry {}
 }
--- a/src/main/java/org/jujuberouter/control/ControlStore.java
+++ b/src/main/java/org/jujuberouter/control/ControlStore.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.id.RequestTrait;
 
 /** The platform's key-value store; all listeners run on the instance's event loop. */
 public interface ControlStore {
@@ -23,6 +24,12 @@
     /** Renews the lease of the registration; the listener receives false if this instance must register again. */
     void renew(Consumer<Boolean> listener);
 
+    /**
+     * Writes a conviction that expires by itself, unless there is one; the listener receives null or the reason for a
+     * failure.
+     */
+    void writeConviction(RequestTrait trait, long remainingMs, Consumer<String> listener);
+
     /** Ends the lease of the registration. */
     void deregister(Runnable done);
 }
--- /dev/null
+++ b/src/main/java/org/jujuberouter/gateway/CrashQuarantine.java
@@ -0,0 +1,208 @@
+package org.jujuberouter.gateway;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jujuberouter.catalog.Endpoint;
+import org.jujuberouter.control.ControlStore;
+import org.jujuberouter.dispatch.CrashAttribution;
+import org.jujuberouter.http.ListenerProbe;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.RequestTrait;
+import org.jujuberouter.misc.Ticker;
+import org.jujuberouter.peer.PeerCodec;
+import org.jujuberouter.peer.PeerMessage;
+
+/**
+ * Collects the evidence on requests that crash endpoints, shares it and refuses convicted requests.
+ *
+ * <p>An attempt whose connection the endpoint closed before it answered is a suspicion. It becomes evidence if the
+ * endpoint refuses connections afterwards, since links and single answers fail as well. Peers are told of a crash at once
+ * and say which of the suspect traits they saw answered; after that, traits are convicted. A conviction is sent to the
+ * peers and written to the store, from which instances of other groups and those that start later learn it.
+ */
+final class CrashQuarantine {
+    /** Time for the other connections to a crashed endpoint to be closed as well. */
+    private static final long GATHER_MS = 10;
+
+    private static final int PROBE_TIMEOUT_MS = 200;
+
+    /** Time for the peers to report answers; several times the delay of a message. */
+    private static final long HEARING_MS = 60;
+
+    private static final long STORE_RETRY_MS = 1_000;
+
+    private final Gateway gateway;
+    private final EventLoop loop;
+    private final Ticker ticker;
+    private final CrashAttribution attribution;
+    private final ControlStore store;
+    private final Consumer<PeerMessage.GatewayMessage> broadcast;
+    private final Map<EndpointId, List<List<RequestTrait>>> suspicions = new HashMap<>();
+    private final Set<RequestTrait> ownSuspects = new HashSet<>();
+    private boolean hasEvidence;
+
+    CrashQuarantine(Gateway gateway, ControlStore store, Consumer<PeerMessage.GatewayMessage> broadcast) {
+        this.gateway = gateway;
+        this.loop = gateway.loop();
+        this.ticker = gateway.ticker();
+        this.attribution = CrashAttribution.empty(ticker);
+        this.store = store;
+        this.broadcast = broadcast;
+        gateway.metrics().gauge("traits_convicted", attribution::convictedCount);
+    }
+
+    /** Returns whether endpoints have crashed under requests, so that answers to whole requests matter. */
+    boolean hasEvidence() {
+        return hasEvidence;
+    }
+
+    /** Returns a convicted trait among the given ones. */
+    Optional<RequestTrait> findConvicted(List<RequestTrait> traits) {
+        return attribution.findConvicted(traits);
+    }
+
+    long remainingMs(RequestTrait trait) {
+        return attribution.remainingMs(trait);
+    }
+
+    /**
+     * Handles an attempt whose connection the endpoint closed before it sent a part of the answer.
+     *
+     * @param traits the traits of the call that may have crashed the endpoint, the most specific one last
+     */
+    void attemptCut(Endpoint endpoint, List<RequestTrait> traits) {
+        List<List<RequestTrait>> known = suspicions.get(endpoint.id());
+        if (known != null) {
+            known.add(traits);
+            return;
+        }
+        suspicions.put(endpoint.id(), new ArrayList<>(List.of(traits)));
+        long cutAt = ticker.millis();
+        loop.schedule(
+                () -> ListenerProbe.probe(
+                        loop, endpoint.address(), PROBE_TIMEOUT_MS, result -> onProbed(endpoint, cutAt, result)),
+                GATHER_MS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void onProbed(Endpoint endpoint, long cutAt, ListenerProbe.Result result) {
+        List<List<RequestTrait>> suspects = suspicions.remove(endpoint.id());
+        gateway.metrics().crashSuspicion(result.name());
+        if (result != ListenerProbe.Result.REFUSED) {
+            return;
+        }
+        long ageMs = ticker.millis() - cutAt;
+        List<List<RequestTrait>> listed = suspects.subList(0, Math.min(suspects.size(), PeerCodec.MAX_SUSPECTS));
+        gateway.log()
+                .stateChanged(
+                        "endpoint crashed",
+                        Map.entry("endpoint", endpoint.id()),
+                        Map.entry("age_ms", ageMs),
+                        Map.entry("suspects", listed));
+        listed.forEach(ownSuspects::addAll);
+        recordCrash(endpoint.id(), ageMs, listed);
+        broadcast.accept(new PeerMessage.EndpointCrashed(
+                endpoint.id(),
+                ageMs,
+                listed.stream().map(PeerMessage.SuspectCall::new).toList()));
+    }
+
+    private void recordCrash(EndpointId endpoint, long ageMs, List<List<RequestTrait>> suspects) {
+        hasEvidence = true;
+        attribution.recordCrash(endpoint, ageMs, suspects);
+        loop.schedule(this::convict, HEARING_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void convict() {
+        for (RequestTrait trait : attribution.convict()) {
+            logConviction(trait, "crashes");
+            if (ownSuspects.contains(trait)) {
+                // The other instances of the group come to the same conclusion; one report of it is enough for the
+                // rest.
+                broadcast.accept(new PeerMessage.TraitConvicted(trait, attribution.remainingMs(trait)));
+                write(trait);
+            }
+            gateway.endConvictedCalls();
+        }
+    }
+
+    private void write(RequestTrait trait) {
+        store.writeConviction(trait, attribution.remainingMs(trait), reason -> {
+            if (reason != null) {
+                gateway.log()
+                        .stateChanged("conviction not written", Map.entry("trait", trait), Map.entry("reason", reason));
+                loop.schedule(() -> writeAgain(trait), STORE_RETRY_MS, TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    private void writeAgain(RequestTrait trait) {
+        if (attribution.remainingMs(trait) > 0) {
+            write(trait);
+        }
+    }
+
+    private void logConviction(RequestTrait trait, String source) {
+        gateway.log()
+                .stateChanged(
+                        "trait convicted",
+                        Map.entry("trait", trait),
+                        Map.entry("source", source),
+                        Map.entry("remaining_ms", attribution.remainingMs(trait)));
+    }
+
+    /** Records that an endpoint has begun to answer a call with the traits. */
+    void answered(List<RequestTrait> traits) {
+        for (RequestTrait trait : attribution.recordAnswer(traits, 0)) {
+            broadcast.accept(new PeerMessage.TraitAnswered(trait, 0));
+        }
+    }
+
+    /** Handles evidence or a conviction from a peer. */
+    void onPeerMessage(PeerMessage.CrashMessage message) {
+        switch (message) {
+            case PeerMessage.EndpointCrashed m -> {
+                List<List<RequestTrait>> suspects = m.suspects().stream()
+                        .map(PeerMessage.SuspectCall::traits)
+                        .toList();
+                recordCrash(m.endpoint(), m.ageMillis(), suspects);
+                suspects.stream()
+                        .flatMap(List::stream)
+                        .distinct()
+                        .forEach(t -> attribution
+                                .answeredAgoMs(t)
+                                .ifPresent(age -> broadcast.accept(new PeerMessage.TraitAnswered(t, age))));
+            }
+            case PeerMessage.TraitAnswered m -> attribution.recordAnswer(List.of(m.trait()), m.ageMillis());
+            case PeerMessage.TraitConvicted m -> onConvicted(m.trait(), m.remainingMillis(), "peer");
+        }
+    }
+
+    /** Handles a conviction in the store. */
+    void onStored(RequestTrait trait) {
+        onConvicted(trait, CrashAttribution.CONVICTION_MS, "store");
+    }
+
+    private void onConvicted(RequestTrait trait, long remainingMs, String source) {
+        if (attribution.remainingMs(trait) > 0) {
+            return;
+        }
+        attribution.setConvicted(trait, remainingMs);
+        logConviction(trait, source);
+        gateway.endConvictedCalls();
+    }
+
+    /** Handles the removal of a conviction from the store, by its lease or by an operator. */
+    void onRemoved(RequestTrait trait) {
+        attribution.lift(trait);
+        gateway.log().stateChanged("conviction lifted", Map.entry("trait", trait));
+    }
+}
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -25,6 +25,7 @@
 import org.jujuberouter.http.ClientCall;
 import org.jujuberouter.http.ResponseListener;
 import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.RequestTrait;
 import org.jujuberouter.id.ServiceName;
 
 /**
@@ -64,6 +65,7 @@
     private Optional<Customer> customer = Optional.empty();
     private ServiceSpec service;
     private CallRequirements requirements;
+    private CallTraits traits;
     private long deadlineNanos;
     private ScheduledFuture<?> deadlineTimer;
     private boolean finished;
@@ -113,8 +115,32 @@
                 route.objectiveMs(),
                 route.gapObjectiveMs(),
                 Math.min(waitMs, route.callerTimeoutMs()));
-        gateway.retries(service.name()).recordRequest();
-        gateway.enqueueAndPlace(this, requirements, telemetry.arrivedNanos());
+        traits = CallTraits.of(call, service.name(), customer, head, body);
+        if (!endIfConvicted()) {
+            gateway.retries(service.name()).recordRequest();
+            gateway.enqueueAndPlace(this, requirements, telemetry.arrivedNanos());
+        }
+    }
+
+    /**
+     * Refuses a call with a trait that crashes endpoints, unless it is being answered; returns whether it has ended. What
+     * an endpoint has of it is cancelled before it crashes the endpoint.
+     */
+    boolean endIfConvicted() {
+        if (finished || traits == null || attempt != null && attempt.eventBatches > 0) {
+            return finished;
+        }
+        Optional<RequestTrait> convicted = traits.convicted(gateway.crashes());
+        if (convicted.isPresent()) {
+            if (attempt != null && attempt.clientCall != null) {
+                recordReceived();
+            }
+            endAttempt();
+            refuseOrFail(
+                    "requests of this kind crash endpoints: " + convicted.get(),
+                    gateway.crashes().remainingMs(convicted.get()));
+        }
+        return finished;
     }
 
     /** Resolves route, customer and service; responds with an error and returns false if one is missing. */
@@ -146,7 +172,7 @@
 
     /** Tries to place the call; returns false if it has to stay queued, to be retried when capacity changes. */
     boolean place() {
-        if (finished || attempt != null) {
+        if (finished || attempt != null || endIfConvicted()) {
             return true;
         }
         if (!gateway.storeFreshness().isCurrent()) {
@@ -394,6 +420,9 @@
         try {
             if (response.relay(piece)) {
                 attempt.eventBatches++;
+                if (attempt.eventBatches == 1) {
+                    traits.answered(gateway.crashes());
+                }
                 if (telemetry.recordEvents()) {
                     gateway.firstEventReceived(
                             call.id(),
@@ -408,6 +437,7 @@
 
     private void completeResponse() {
         attempt.endpoint.recordSuccess();
+        traits.answered(gateway.crashes());
         telemetry.answered(attempt.endpoint.registration(), response.status(), route);
         endAttempt();
         finish();
@@ -417,6 +447,9 @@
     private void onAttemptFailed(CallFailure failure) {
         telemetry.attemptFailed(attempt.endpoint.registration(), failure, attempt.received, attempt.eventBatches);
         if (failure.sent()) {
+            if (failure.kind() != CallFailure.Kind.MALFORMED && attempt.eventBatches == 0) {
+                gateway.crashes().attemptCut(attempt.endpoint.registration(), traits.suspects(attempt.received));
+            }
             recordReceived();
         }
         retryOrFail(failure.kind() + ": " + failure.detail());
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -62,6 +62,7 @@
     private final Set<Exchange> running = new HashSet<>();
     private final CallQueue<Exchange> waitQueue = CallQueue.empty(ticker);
     private PeerLoadSync peerLoad;
+    private CrashQuarantine crashes;
     private Optional<Catalog> catalog = Optional.empty();
     private long previousIdleTimeoutMs;
     private int memoryReleases;
@@ -280,6 +281,20 @@
         peerLoad = sync;
     }
 
+    /** Sets the quarantine; not a constructor argument, since it refers to this object. */
+    void setCrashes(CrashQuarantine quarantine) {
+        crashes = quarantine;
+    }
+
+    CrashQuarantine crashes() {
+        return crashes;
+    }
+
+    /** Ends the calls that are refused from now on, unless an endpoint has begun to answer them. */
+    void endConvictedCalls() {
+        new ArrayList<>(running).forEach(Exchange::endIfConvicted);
+    }
+
     /** Queues a call that has just arrived and tries to place the queued calls in order. */
     void enqueueAndPlace(Exchange exchange, CallRequirements requirements, long arrivedNanos) {
         waitQueue.add(exchange, requirements, arrivedNanos);
@@ -354,6 +369,7 @@
                 log.stateChanged("domain taken out", Map.entry("domain", e.domain()));
             }
             case ControlEntry.Peer p -> peerLoad.peerListed(p.instance(), p.address());
+            case ControlEntry.Conviction c -> crashes.onStored(c.trait());
             case ControlEntry.Unreadable u ->
                 log.stateChanged("unreadable entry", Map.entry("key", key), Map.entry("reason", u.reason()));
         }
@@ -386,6 +402,12 @@
                 capacityChanged();
             }
             case ControlEntry.Peer p -> peerLoad.peerUnlisted(p.instance(), observedLive);
+            case ControlEntry.Conviction c -> {
+                // Leases may expire early while the store is away; the conviction then expires at this instance.
+                if (observedLive) {
+                    crashes.onRemoved(c.trait());
+                }
+            }
             case ControlEntry.Configuration _ ->
                 log.stateChanged("configuration deleted from the store; the last version stays in force");
             case ControlEntry.Unreadable _ -> log.stateChanged("unreadable entry removed", Map.entry("key", key));
--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -78,6 +78,7 @@
         StoreWatcher watcher = StoreWatcher.of(daemon.store, daemon.loop, daemon.gateway.ticker(), daemon.gateway);
         daemon.peerLoad = PeerLoadSync.start(daemon.gateway, watcher, daemon.loop, daemon.gateway.ticker(), options);
         daemon.gateway.setPeerLoad(daemon.peerLoad);
+        daemon.gateway.setCrashes(new CrashQuarantine(daemon.gateway, daemon.store, daemon.peerLoad::broadcast));
         daemon.loop.execute(() -> {
             watcher.start();
             daemon.register();
--- a/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
@@ -50,6 +50,11 @@
         metrics.count("memory_reservations_total", "service=\"" + service + "\",event=\"" + event + "\"", 1);
     }
 
+    /** Counts a suspected crash of an endpoint by the result of the probe. */
+    void crashSuspicion(String result) {
+        metrics.count("crash_suspicions_total", "result=\"" + result + "\"", 1);
+    }
+
     /** Counts a refusal by its reason; the text after a colon is specific to the case and not part of the label. */
     void refused(String text) {
         String reason = text.contains(":") ? text.substring(0, text.indexOf(':')) : text;
--- a/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
+++ b/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
@@ -193,6 +193,11 @@
         network.broadcast(new PeerMessage.EndpointFailed(endpoint), members);
     }
 
+    /** Sends a message to all peers of the group. */
+    void broadcast(PeerMessage.GatewayMessage message) {
+        network.broadcast(message, members);
+    }
+
     @Override
     public void onMessage(PeerConnection from, PeerMessage message) {
         InstanceId sender = from.peer().instance();
@@ -235,6 +240,7 @@
             case PeerMessage.ContactReport m -> proof.onReport(m);
             case PeerMessage.EndpointFailed m ->
                 gateway.registry().find(m.endpoint()).ifPresent(e -> e.recordPeerFailure(ticker.nanos()));
+            case PeerMessage.CrashMessage m -> gateway.crashes().onPeerMessage(m);
             case PeerMessage.ContactQuery _ -> {
                 // Handled in onMessage, since the report is sent on the same connection.
             }
--- a/src/main/java/org/jujuberouter/peer/FieldWriter.java
+++ b/src/main/java/org/jujuberouter/peer/FieldWriter.java
@@ -4,12 +4,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import org.jujuberouter.id.Incarnation;
+import org.jujuberouter.id.RequestTrait;
 import org.jujuberouter.peer.PeerException.Kind;
 import org.jujuberouter.peer.PeerMessage.ClearNotice;
 import org.jujuberouter.peer.PeerMessage.ContactQuery;
 import org.jujuberouter.peer.PeerMessage.ContactReport;
 import org.jujuberouter.peer.PeerMessage.CrashNotice;
 import org.jujuberouter.peer.PeerMessage.CustomerDemand;
+import org.jujuberouter.peer.PeerMessage.EndpointCrashed;
 import org.jujuberouter.peer.PeerMessage.EndpointDigest;
 import org.jujuberouter.peer.PeerMessage.EndpointFailed;
 import org.jujuberouter.peer.PeerMessage.EndpointTarget;
@@ -34,6 +36,9 @@
 import org.jujuberouter.peer.PeerMessage.ServiceTarget;
 import org.jujuberouter.peer.PeerMessage.SettingsPull;
 import org.jujuberouter.peer.PeerMessage.SettingsPush;
+import org.jujuberouter.peer.PeerMessage.SuspectCall;
+import org.jujuberouter.peer.PeerMessage.TraitAnswered;
+import org.jujuberouter.peer.PeerMessage.TraitConvicted;
 import org.jujuberouter.peer.PeerMessage.WorkEnded;
 import org.jujuberouter.peer.PeerMessage.WorkPart;
 import org.jujuberouter.peer.PeerMessage.WorkRead;
@@ -135,6 +140,22 @@
                         .number(m.viewAgeMillis())
                         .number(m.revision());
             case EndpointFailed m -> messageHeader(PeerCodec.ENDPOINT_FAILED, 1).text(m.endpoint());
+            case EndpointCrashed m -> endpointCrashed(m);
+            case TraitAnswered m ->
+                messageHeader(PeerCodec.TRAIT_ANSWERED, 2).text(m.trait()).number(m.ageMillis());
+            case TraitConvicted m ->
+                messageHeader(PeerCodec.TRAIT_CONVICTED, 2).text(m.trait()).number(m.remainingMillis());
+        }
+    }
+
+    private void endpointCrashed(EndpointCrashed m) throws IOException, PeerException {
+        messageHeader(PeerCodec.ENDPOINT_CRASHED, 3).text(m.endpoint()).number(m.ageMillis());
+        list("suspects", PeerCodec.MAX_SUSPECTS, m.suspects());
+        for (SuspectCall call : m.suspects()) {
+            list("traits", PeerCodec.MAX_TRAITS, call.traits());
+            for (RequestTrait trait : call.traits()) {
+                text(trait);
+            }
         }
     }
 
--- a/src/main/java/org/jujuberouter/peer/PeerCodec.java
+++ b/src/main/java/org/jujuberouter/peer/PeerCodec.java
@@ -11,6 +11,7 @@
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.ModelName;
 import org.jujuberouter.id.RequestId;
+import org.jujuberouter.id.RequestTrait;
 import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.peer.PeerException.Kind;
 import org.jujuberouter.peer.PeerMessage.ClearNotice;
@@ -18,6 +19,7 @@
 import org.jujuberouter.peer.PeerMessage.ContactReport;
 import org.jujuberouter.peer.PeerMessage.CrashNotice;
 import org.jujuberouter.peer.PeerMessage.CustomerDemand;
+import org.jujuberouter.peer.PeerMessage.EndpointCrashed;
 import org.jujuberouter.peer.PeerMessage.EndpointDigest;
 import org.jujuberouter.peer.PeerMessage.EndpointFailed;
 import org.jujuberouter.peer.PeerMessage.EndpointTarget;
@@ -45,6 +47,9 @@
 import org.jujuberouter.peer.PeerMessage.SettingsPull;
 import org.jujuberouter.peer.PeerMessage.SettingsPush;
 import org.jujuberouter.peer.PeerMessage.Stage;
+import org.jujuberouter.peer.PeerMessage.SuspectCall;
+import org.jujuberouter.peer.PeerMessage.TraitAnswered;
+import org.jujuberouter.peer.PeerMessage.TraitConvicted;
 import org.jujuberouter.peer.PeerMessage.WorkEnded;
 import org.jujuberouter.peer.PeerMessage.WorkPart;
 import org.jujuberouter.peer.PeerMessage.WorkRead;
@@ -94,6 +99,12 @@
     /** The maximum number of endpoints that a call uses: the one that responds and its helpers, with headroom. */
     public static final int MAX_PARTS = 64;
 
+    /** The maximum number of calls that a message lists for a crash; an endpoint runs fewer at a time. */
+    public static final int MAX_SUSPECTS = 64;
+
+    /** The maximum number of traits of a call: the parts of its prompt that count, and the whole request. */
+    public static final int MAX_TRAITS = 32;
+
     /** The size of the length prefix of a frame. */
     static final int LENGTH_BYTES = 4;
 
@@ -119,6 +130,9 @@
     static final int CONTACT_QUERY = 19;
     static final int CONTACT_REPORT = 20;
     static final int ENDPOINT_FAILED = 21;
+    static final int ENDPOINT_CRASHED = 22;
+    static final int TRAIT_ANSWERED = 23;
+    static final int TRAIT_CONVICTED = 24;
 
     static final int AT_ENDPOINT = 0;
     static final int ANY_OF = 1;
@@ -206,10 +220,35 @@
             case CONTACT_REPORT -> contactReport(in, fields);
             case ENDPOINT_FAILED ->
                 readFields(in, "EndpointFailed", fields, 1, r -> new EndpointFailed(r.id("endpoint", EndpointId::of)));
+            case ENDPOINT_CRASHED -> readFields(in, "EndpointCrashed", fields, 3, PeerCodec::endpointCrashed);
+            case TRAIT_ANSWERED ->
+                readFields(
+                        in,
+                        "TraitAnswered",
+                        fields,
+                        2,
+                        r -> new TraitAnswered(r.id("trait", RequestTrait::of), r.number("age")));
+            case TRAIT_CONVICTED ->
+                readFields(
+                        in,
+                        "TraitConvicted",
+                        fields,
+                        2,
+                        r -> new TraitConvicted(r.id("trait", RequestTrait::of), r.number("time left")));
             default -> throw PeerException.of(Kind.UNKNOWN_TYPE, type);
         };
     }
 
+    private static EndpointCrashed endpointCrashed(FieldReader in) throws IOException, PeerException {
+        return new EndpointCrashed(
+                in.id("endpoint", EndpointId::of),
+                in.number("age"),
+                in.list(
+                        "suspects",
+                        MAX_SUSPECTS,
+                        e -> new SuspectCall(e.list("traits", MAX_TRAITS, t -> t.id("trait", RequestTrait::of)))));
+    }
+
     /** Reads a report; builds that report no revision send the first three fields only. */
     private static ContactReport contactReport(FieldReader in, int fields) throws IOException, PeerException {
         boolean withView = fields >= 5;
--- a/src/main/java/org/jujuberouter/peer/PeerMessage.java
+++ b/src/main/java/org/jujuberouter/peer/PeerMessage.java
@@ -10,6 +10,7 @@
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.ModelName;
 import org.jujuberouter.id.RequestId;
+import org.jujuberouter.id.RequestTrait;
 import org.jujuberouter.id.ServiceName;
 
 /** A message between two instances. */
@@ -407,4 +408,34 @@
 
     /** Reports that an endpoint failed a call of the sender, so that other instances avoid it for a while. */
     record EndpointFailed(EndpointId endpoint) implements GatewayMessage {}
+
+    /** A message between gateway instances about requests that crash endpoints. */
+    sealed interface CrashMessage extends GatewayMessage {}
+
+    /**
+     * Reports that an endpoint crashed while calls of the sender ran there.
+     *
+     * @param ageMillis the time since the crash
+     * @param suspects the calls that the endpoint may have begun to answer, at most {@link PeerCodec#MAX_SUSPECTS}
+     */
+    record EndpointCrashed(EndpointId endpoint, long ageMillis, List<SuspectCall> suspects) implements CrashMessage {
+        /** Copies the list. */
+        public EndpointCrashed {
+            suspects = List.copyOf(suspects);
+        }
+    }
+
+    /** A call that an endpoint may have begun to answer when it crashed, by its traits; the most specific one is last. */
+    record SuspectCall(List<RequestTrait> traits) {
+        /** Copies the list. */
+        public SuspectCall {
+            traits = List.copyOf(traits);
+        }
+    }
+
+    /** Reports that an endpoint has answered a request with the trait, which acquits it of crashes before. */
+    record TraitAnswered(RequestTrait trait, long ageMillis) implements CrashMessage {}
+
+    /** Reports that requests with the trait are refused, since they crash endpoints. */
+    record TraitConvicted(RequestTrait trait, long remainingMillis) implements CrashMessage {}
 }
--- a/src/main/java/org/jujuberouter/peer/SampleMessages.java
+++ b/src/main/java/org/jujuberouter/peer/SampleMessages.java
@@ -12,6 +12,7 @@
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.ModelName;
 import org.jujuberouter.id.RequestId;
+import org.jujuberouter.id.RequestTrait;
 import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.peer.PeerMessage.ClearNotice;
 import org.jujuberouter.peer.PeerMessage.CrashNotice;
@@ -47,6 +48,7 @@
     private static final EndpointId ENDPOINT = EndpointId.of("kk-engine-17");
     private static final CustomerId CUSTOMER = CustomerId.of("phaen-khai-large-2");
     private static final RequestId REQUEST = RequestId.of("kk-entry-03.48213.1048577");
+    private static final RequestTrait TRAIT = RequestTrait.part(ServiceName.of("assistant"), "7f94cfada01e");
     private static final Fingerprint FINGERPRINT = Fingerprint.of("9f86d081884c7d659a2feaa0c55ad015");
 
     private SampleMessages() {}
@@ -86,6 +88,10 @@
                 new PeerMessage.ContactQuery(-7_000_000_000L),
                 new PeerMessage.ContactReport(-7_000_000_000L, 640, 18_233, 910, 91_877),
                 new PeerMessage.EndpointFailed(ENDPOINT),
+                new PeerMessage.EndpointCrashed(
+                        ENDPOINT, 40, List.of(new PeerMessage.SuspectCall(List.of(TRAIT, TRAIT)))),
+                new PeerMessage.TraitAnswered(TRAIT, 1_200),
+                new PeerMessage.TraitConvicted(TRAIT, 600_000),
                 new SettingsPull(1_912),
                 new SettingsPush(1_913, new byte[126_000]));
     }
--- a/src/main/java/org/jujuberouter/platform/KvControlStore.java
+++ b/src/main/java/org/jujuberouter/platform/KvControlStore.java
@@ -11,12 +11,14 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.jujuberouter.control.ControlEvent;
 import org.jujuberouter.control.ControlReply;
 import org.jujuberouter.control.ControlStore;
 import org.jujuberouter.http.JsonClient;
 import org.jujuberouter.http.JsonReply;
 import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.id.RequestTrait;
 import org.jujuberouter.misc.Json;
 
 /** Client of the platform's key-value store over HTTP. */
@@ -93,13 +95,8 @@
 
     @Override
     public void register(InstanceId instance, InetSocketAddress peerAddress, long leaseMs, Consumer<String> listener) {
-        ObjectNode grant = Json.MAPPER.createObjectNode().put("TtlMs", leaseMs);
-        client.call("POST", "/v1/kv-lease", bytes(grant), CALL_TIMEOUT_MS, reply -> {
-            if (!(reply instanceof JsonReply.Response r) || r.status() != 200) {
-                listener.accept(failed("lease", reply).reason());
-                return;
-            }
-            lease = r.body().path("Lease").asLong();
+        grantLease(leaseMs, listener, granted -> {
+            lease = granted;
             writeRegistration(instance, peerAddress, listener);
         });
     }
@@ -119,6 +116,37 @@
         });
     }
 
+    @Override
+    public void writeConviction(RequestTrait trait, long remainingMs, Consumer<String> listener) {
+        grantLease(remainingMs, listener, granted -> {
+            ObjectNode transaction = Json.MAPPER.createObjectNode();
+            String key = StoreKeys.CONVICTIONS + trait.value();
+            transaction.putArray("Expected").addObject().put("Key", key).put("Rev", 0);
+            transaction.putArray("Delete");
+            transaction
+                    .putArray("Puts")
+                    .addObject()
+                    .put("Key", key)
+                    .put("Value", "")
+                    .put("Lease", granted);
+            client.call("POST", "/v1/kv-txn", bytes(transaction), CALL_TIMEOUT_MS, reply -> {
+                boolean exists = reply instanceof JsonReply.Response r && (r.status() == 200 || r.status() == 412);
+                listener.accept(exists ? null : failed("conviction", reply).reason());
+            });
+        });
+    }
+
+    private void grantLease(long ttlMs, Consumer<String> failure, LongConsumer granted) {
+        ObjectNode grant = Json.MAPPER.createObjectNode().put("TtlMs", ttlMs);
+        client.call("POST", "/v1/kv-lease", bytes(grant), CALL_TIMEOUT_MS, reply -> {
+            if (reply instanceof JsonReply.Response r && r.status() == 200) {
+                granted.accept(r.body().path("Lease").asLong());
+            } else {
+                failure.accept(failed("lease", reply).reason());
+            }
+        });
+    }
+
     @Override
     public void renew(Consumer<Boolean> listener) {
         client.call("POST", "/v1/kv-keep/" + lease, new byte[0], CALL_TIMEOUT_MS, reply -> {
--- a/src/main/java/org/jujuberouter/platform/KvValueCodec.java
+++ b/src/main/java/org/jujuberouter/platform/KvValueCodec.java
@@ -11,6 +11,7 @@
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.id.RequestTrait;
 import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.misc.Json;
 
@@ -24,6 +25,9 @@
             if (key.startsWith(StoreKeys.EVACUATIONS)) {
                 return new ControlEntry.Evacuation(FailureDomain.of(key.substring(StoreKeys.EVACUATIONS.length())));
             }
+            if (key.startsWith(StoreKeys.CONVICTIONS)) {
+                return new ControlEntry.Conviction(RequestTrait.of(key.substring(StoreKeys.CONVICTIONS.length())));
+            }
             byte[] value = Base64.getDecoder().decode(base64);
             if (key.equals(StoreKeys.CONFIGURATION)) {
                 return new ControlEntry.Configuration(ConfigurationDecoder.decode(Json.MAPPER.readTree(value)));
--- a/src/main/java/org/jujuberouter/platform/StoreKeys.java
+++ b/src/main/java/org/jujuberouter/platform/StoreKeys.java
@@ -14,5 +14,8 @@
     /** Prefix of instance registrations; followed by the instance's id. */
     static final String INSTANCES = "instances/";
 
+    /** Prefix of the convictions of traits whose requests crash endpoints; followed by the trait. */
+    static final String CONVICTIONS = "convictions/";
+
     private StoreKeys() {}
 }
--- a/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
+++ b/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
@@ -8,6 +8,7 @@
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -65,9 +66,14 @@
     private static final int EVENTS = 6;
     private static final int EVENTS_BEFORE_BREAK = 3;
     private static final long HANG_MS = 20_000;
+    private static final long RESTART_MS = 1_500;
 
     private final String id;
-    private final HttpServer server;
+    private final AtomicInteger crashes = new AtomicInteger();
+    private final InetSocketAddress address;
+    private volatile HttpServer server;
+    private volatile boolean closed;
+    private volatile String deadlyPart = "";
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final List<String> runs = new CopyOnWriteArrayList<>();
     private final List<String> memoryRequests = new CopyOnWriteArrayList<>();
@@ -81,18 +87,22 @@
 
     private EngineStandin(String id, HttpServer server, long eventGapMs) {
         this.id = id;
-        this.server = server;
         this.eventGapMs = eventGapMs;
+        this.address = server.getAddress();
+        serveOn(server);
+    }
+
+    private void serveOn(HttpServer newServer) {
+        newServer.createContext("/", this::serve);
+        newServer.setExecutor(executor);
+        newServer.start();
+        server = newServer;
     }
 
     /** Starts an engine on a free loopback port. */
     public static EngineStandin start(String id, long eventGapMs) throws IOException {
-        EngineStandin engine = new EngineStandin(
+        return new EngineStandin(
                 id, HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0), eventGapMs);
-        engine.server.createContext("/", engine::serve);
-        engine.server.setExecutor(engine.executor);
-        engine.server.start();
-        return engine;
     }
 
     /** Sets how requests are handled from now on. */
@@ -107,7 +117,7 @@
 
     /** Returns the loopback port on which it listens. */
     public int port() {
-        return server.getAddress().getPort();
+        return address.getPort();
     }
 
     /** Returns the ids of the requests that were run, in order. */
@@ -168,8 +178,35 @@
                 .toString();
     }
 
+    /** Crashes from now on when it begins to answer a request whose prompt contains the part. */
+    public void setDeadlyPart(String partId) {
+        deadlyPart = partId;
+    }
+
+    /** Returns how often it has crashed. */
+    public int crashes() {
+        return crashes.get();
+    }
+
+    /** Ends all connections and listens again after a while. */
+    private void crash() {
+        crashes.incrementAndGet();
+        server.stop(0);
+        executor.execute(() -> {
+            pause(RESTART_MS);
+            try {
+                if (!closed) {
+                    serveOn(HttpServer.create(address, 0));
+                }
+            } catch (IOException e) {
+                throw new UncheckedIOException("port " + address.getPort() + " is taken", e);
+            }
+        });
+    }
+
     @Override
     public void close() {
+        closed = true;
         server.stop(0);
         executor.shutdownNow();
     }
@@ -203,6 +240,14 @@
         }
         runs.add(attempt);
         responseHeaders.set("X-Jujuberouter-Response-Signature", "signed-" + id);
+        String parts = requestHeaders.getFirst("X-Jujuberouter-Prefix-Hash");
+        if (!deadlyPart.isEmpty() && parts != null && parts.contains(deadlyPart)) {
+            exchange.sendResponseHeaders(200, 0);
+            exchange.getResponseBody().flush();
+            pause(eventGapMs);
+            crash();
+            return;
+        }
         if (behaviour == Behaviour.HANG) {
             pause(HANG_MS);
         }
--- a/src/test/java/org/jujuberouter/control/StoreWatcherTest.java
+++ b/src/test/java/org/jujuberouter/control/StoreWatcherTest.java
@@ -16,6 +16,7 @@
 import org.jujuberouter.dispatch.StoreFreshness;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.id.RequestTrait;
 import org.jujuberouter.misc.ManualTicker;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -100,6 +101,11 @@
         @Override
         public void renew(Consumer<Boolean> answer) {}
 
+        @Override
+        public void writeConviction(RequestTrait trait, long remainingMs, Consumer<String> listener) {
+            throw new UnsupportedOperationException("no conviction is written here");
+        }
+
         @Override
         public void deregister(Runnable done) {}
     }
--- /dev/null
+++ b/src/test/java/org/jujuberouter/dispatch/CrashAttributionTest.java
@@ -0,0 +1,192 @@
+package org.jujuberouter.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.Fingerprint;
+import org.jujuberouter.id.RequestTrait;
+import org.jujuberouter.id.ServiceName;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests that crash one endpoint after the other, and against refusing sound ones beside them. */
+class CrashAttributionTest {
+    private static final ServiceName SERVICE = ServiceName.of("assistant");
+    private static final RequestTrait SHARED = RequestTrait.part(SERVICE, "aa");
+    private static final RequestTrait DEADLY = RequestTrait.part(SERVICE, "dd");
+
+    private long nowNanos;
+    private final CrashAttribution attribution = CrashAttribution.empty(() -> nowNanos);
+    private int requests;
+
+    private void advance(long millis) {
+        nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    private RequestTrait newRequest() {
+        return RequestTrait.request(SERVICE, Fingerprint.of("f" + requests++));
+    }
+
+    private List<RequestTrait> request(RequestTrait... parts) {
+        List<RequestTrait> traits = new ArrayList<>(List.of(parts));
+        traits.add(newRequest());
+        return traits;
+    }
+
+    private void crash(String endpoint, List<RequestTrait> suspect) {
+        advance(50);
+        attribution.recordCrash(EndpointId.of(endpoint), 0, List.of(suspect));
+    }
+
+    @Test
+    void convictsThePartThatAllCrashesHaveInCommon() {
+        attribution.recordAnswer(request(SHARED), 0);
+        for (int i = 0; i < 3; i++) {
+            assertEquals(List.of(), attribution.convict());
+            crash("e" + i, request(SHARED, DEADLY));
+        }
+        assertEquals(List.of(DEADLY), attribution.convict());
+        assertEquals(DEADLY, attribution.findConvicted(request(SHARED, DEADLY)).orElseThrow());
+        assertTrue(attribution.findConvicted(request(SHARED)).isEmpty());
+    }
+
+    /** No instance may have seen an answer to the shared part yet; the sound requests with it must not be refused. */
+    @Test
+    void convictsTheMoreSpecificOfTwoPartsThatAlwaysOccurTogether() {
+        for (int i = 0; i < 3; i++) {
+            crash("e" + i, request(SHARED, DEADLY));
+        }
+        assertEquals(List.of(DEADLY), attribution.convict());
+    }
+
+    @Test
+    void convictsAPartThatWasSoundBefore() {
+        attribution.recordAnswer(List.of(DEADLY), 0);
+        advance(10_000);
+        attribution.recordAnswer(List.of(SHARED), 0);
+        for (int i = 0; i < 3; i++) {
+            crash("e" + i, request(SHARED, DEADLY));
+        }
+        assertEquals(List.of(DEADLY), attribution.convict());
+    }
+
+    @Test
+    void convictsTheSharedPartIfItsCompanionsDiffer() {
+        for (int i = 0; i < 3; i++) {
+            crash("e" + i, request(SHARED, RequestTrait.part(SERVICE, "b" + i)));
+        }
+        assertEquals(List.of(SHARED), attribution.convict());
+    }
+
+    @Test
+    void convictsARequestThatIsSentAgain() {
+        List<RequestTrait> repeated = request(SHARED);
+        attribution.recordAnswer(List.of(SHARED), 0);
+        for (int i = 0; i < 3; i++) {
+            crash("e" + i, repeated);
+        }
+        assertEquals(List.of(repeated.getLast()), attribution.convict());
+    }
+
+    /** The other parts of a request that crashes endpoints by itself are sound. */
+    @Test
+    void doesNotConvictAPartThatOnlyOneRepeatedRequestHas() {
+        List<RequestTrait> repeated = request(DEADLY);
+        for (int i = 0; i < 4; i++) {
+            crash("e" + i, repeated);
+        }
+        assertEquals(List.of(repeated.getLast()), attribution.convict());
+    }
+
+    @Test
+    void acquitsATraitThatIsAnsweredAfterTheCrash() {
+        for (int i = 0; i < 2; i++) {
+            crash("e" + i, request(SHARED));
+        }
+        advance(1);
+        assertEquals(List.of(SHARED), attribution.recordAnswer(List.of(SHARED), 0));
+        crash("e2", request(SHARED));
+        assertEquals(List.of(), attribution.convict());
+    }
+
+    /** Several instances report one crash, late and repeatedly. */
+    @Test
+    void countsTheReportsOfOneCrashOnce() {
+        List<RequestTrait> suspect = request(DEADLY);
+        for (int i = 0; i < 5; i++) {
+            attribution.recordCrash(EndpointId.of("e"), 20L * i, List.of(suspect));
+            advance(20);
+        }
+        assertEquals(List.of(), attribution.convict());
+    }
+
+    @Test
+    void takesThreeFurtherCrashesToConvictAgainAfterAConvictionHasExpired() {
+        for (int i = 0; i < 3; i++) {
+            crash("e" + i, request(DEADLY));
+        }
+        assertEquals(List.of(DEADLY), attribution.convict());
+        advance(CrashAttribution.CONVICTION_MS);
+        assertTrue(attribution.findConvicted(List.of(DEADLY)).isEmpty());
+        crash("e3", request(DEADLY));
+        crash("e4", request(DEADLY));
+        assertEquals(List.of(), attribution.convict());
+        crash("e5", request(DEADLY));
+        assertEquals(List.of(DEADLY), attribution.convict());
+    }
+
+    @Test
+    void liftsAConvictionWithTheEvidenceForIt() {
+        for (int i = 0; i < 3; i++) {
+            crash("e" + i, request(SHARED, DEADLY));
+        }
+        attribution.convict();
+        advance(1);
+        attribution.lift(DEADLY);
+        assertEquals(List.of(), attribution.convict(), "nor is another part of those requests");
+        assertTrue(attribution.findConvicted(List.of(DEADLY)).isEmpty());
+    }
+
+    /**
+     * Sound requests share all other parts with deadly ones, some are about to be answered by an engine that crashes, and
+     * engines crash for other reasons too.
+     */
+    @Test
+    void convictsOnlyTheDeadlyPartAmongRandomRequests() {
+        for (int seed = 0; seed < 200; seed++) {
+            nowNanos = 0;
+            CrashAttribution tried = CrashAttribution.empty(() -> nowNanos);
+            Random random = new Random(seed);
+            Set<RequestTrait> convicted = new HashSet<>();
+            int deadlyRuns = 0;
+            for (int i = 0; i < 2_000; i++) {
+                advance(25);
+                RequestTrait part = RequestTrait.part(SERVICE, "p" + (int) (60 * Math.pow(random.nextDouble(), 2)));
+                boolean deadly = i > 100 && random.nextDouble() < 0.05;
+                List<RequestTrait> traits = deadly ? request(part, DEADLY) : request(part);
+                if (tried.findConvicted(traits).isPresent()) {
+                    continue;
+                }
+                if (deadly || random.nextDouble() < 0.01) {
+                    List<List<RequestTrait>> suspects = new ArrayList<>(List.of(traits));
+                    if (random.nextDouble() < 0.1) {
+                        suspects.add(request(RequestTrait.part(SERVICE, "p" + random.nextInt(60))));
+                    }
+                    tried.recordCrash(EndpointId.of("e" + i), 0, suspects);
+                    deadlyRuns += deadly ? 1 : 0;
+                } else {
+                    tried.recordAnswer(traits, 0);
+                }
+                convicted.addAll(tried.convict());
+            }
+            assertEquals(Set.of(DEADLY), convicted, "seed " + seed);
+            assertEquals(CrashAttribution.CONVICTING_CRASHES, deadlyRuns, "seed " + seed);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/jujuberouter/gateway/CrashQuarantineTest.java
@@ -0,0 +1,173 @@
+package org.jujuberouter.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
+import org.jujuberouter.platform.HttpPlatformAdapter;
+import org.jujuberouter.platform.NodeFile;
+import org.jujuberouter.platform.standin.EngineStandin;
+import org.jujuberouter.platform.standin.StandinSite;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Runs instances whose engines crash when they begin to answer a request with one part in its prompt. */
+class CrashQuarantineTest {
+    private static final String SHARED = "3fcf6a3e3af2";
+    private static final String DEADLY = "7f94cfada01e";
+
+    /** Most crashes after which the platform lets such requests reach engines for the time below. */
+    private static final int MAX_CRASHES = 5;
+
+    /** Time within which all instances must refuse them. */
+    private static final long CONTACT_MS = 3_000;
+
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final List<GatewayDaemon> daemons = new ArrayList<>();
+    private StandinSite site;
+    private int calls;
+
+    @TempDir
+    private Path files;
+
+    @BeforeAll
+    static void allowHostHeader() {
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+    }
+
+    @BeforeEach
+    void startSite() throws Exception {
+        site = StandinSite.start(8, 1, 20);
+    }
+
+    @AfterEach
+    void stopSite() {
+        client.close();
+        daemons.forEach(GatewayDaemon::close);
+        site.close();
+    }
+
+    private URI startInstance(String name) throws Exception {
+        Path file = files.resolve(name + ".json");
+        URI base =
+                URI.create("http://127.0.0.1:" + site.writeNodeFile(file, name).getPort());
+        daemons.add(GatewayDaemon.start(NodeFile.read(file), HttpPlatformAdapter.create()));
+        await(() -> status(send(base, SHARED)) == 200);
+        return base;
+    }
+
+    /** The engines crash one after the other if each instance only bounds its own retries. */
+    @Test
+    void refusesRequestsWithAPartThatCrashesEngines() throws Exception {
+        URI first = startInstance("first");
+        URI second = startInstance("second");
+        site.engines().forEach(e -> e.setDeadlyPart(DEADLY));
+        for (int i = 0; crashes() < MAX_CRASHES && i < 2 * MAX_CRASHES; i++) {
+            status(send(i % 2 == 0 ? first : second, SHARED + ":40," + DEADLY));
+        }
+        Thread.sleep(CONTACT_MS);
+        int crashesBefore = crashes();
+        for (int i = 0; i < 6; i++) {
+            HttpResponse<String> refusal =
+                    send(i % 2 == 0 ? first : second, SHARED + ":40," + DEADLY).join();
+            assertEquals(503, refusal.statusCode());
+            assertTrue(refusal.body().contains("crash endpoints"), refusal.body());
+            assertTrue(refusal.headers().firstValue("Retry-After").isPresent());
+        }
+        assertEquals(crashesBefore, crashes());
+    }
+
+    @Test
+    void servesSoundRequestsThatShareTheOtherParts() throws Exception {
+        URI first = startInstance("first");
+        site.engines().forEach(e -> e.setDeadlyPart(DEADLY));
+        for (int i = 0; i < 4; i++) {
+            status(send(first, SHARED + ":40," + DEADLY));
+        }
+        Thread.sleep(CONTACT_MS);
+        for (int i = 0; i < 10; i++) {
+            assertEquals(200, send(first, SHARED).join().statusCode());
+        }
+    }
+
+    /** An instance that starts later has seen none of the crashes. */
+    @Test
+    void knowsOfConvictionsAfterAStart() throws Exception {
+        URI first = startInstance("first");
+        site.engines().forEach(e -> e.setDeadlyPart(DEADLY));
+        for (int i = 0; i < 4; i++) {
+            status(send(first, SHARED + ":40," + DEADLY));
+        }
+        await(() -> !site.store().keys("convictions/").isEmpty());
+        daemons.removeFirst().close();
+        int crashesBefore = crashes();
+        URI second = startInstance("second");
+        HttpResponse<String> refusal = send(second, SHARED + ":40," + DEADLY).join();
+        assertEquals(503, refusal.statusCode());
+        assertTrue(refusal.body().contains("crash endpoints"), refusal.body());
+        assertEquals(crashesBefore, crashes());
+    }
+
+    /** An operator deletes the key once the cause is repaired. */
+    @Test
+    void servesRequestsAgainWhenTheConvictionIsDeleted() throws Exception {
+        URI first = startInstance("first");
+        site.engines().forEach(e -> e.setDeadlyPart(DEADLY));
+        for (int i = 0; i < 4; i++) {
+            status(send(first, SHARED + ":40," + DEADLY));
+        }
+        await(() -> !site.store().keys("convictions/").isEmpty());
+        assertEquals(503, status(send(first, SHARED + ":40," + DEADLY)));
+        site.engines().forEach(e -> e.setDeadlyPart(""));
+        site.store().keys("convictions/").forEach(site.store()::remove);
+        await(() -> status(send(first, SHARED + ":40," + DEADLY)) == 200);
+    }
+
+    private int crashes() {
+        return site.engines().stream().mapToInt(EngineStandin::crashes).sum();
+    }
+
+    /** Sends a request with its own id, body and last part. */
+    private CompletableFuture<HttpResponse<String>> send(URI base, String sharedParts) {
+        String id = "call-" + calls++;
+        HttpRequest request = StandinSite.request(base.resolve("/talk/stream"), id)
+                .header("X-Jujuberouter-Prefix-Hash", sharedParts + ":60," + Integer.toHexString(calls) + ":900")
+                .timeout(Duration.ofSeconds(10))
+                .POST(HttpRequest.BodyPublishers.ofString("the body of " + id))
+                .build();
+        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Returns the status, or 0 if the answer was cut. */
+    private static int status(CompletableFuture<HttpResponse<String>> answer) {
+        try {
+            return answer.join().statusCode();
+        } catch (CompletionException e) {
+            assertTrue(e.getCause() instanceof IOException, String.valueOf(e.getCause()));
+            return 0;
+        }
+    }
+
+    private static void await(BooleanSupplier condition) throws InterruptedException {
+        long end = System.nanoTime() + Duration.ofSeconds(10).toNanos();
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < end, "the condition was not met within 10 s");
+            Thread.sleep(20);
+        }
+    }
+}
--- a/src/test/java/org/jujuberouter/gateway/StoreProofSimulationTest.java
+++ b/src/test/java/org/jujuberouter/gateway/StoreProofSimulationTest.java
@@ -25,6 +25,7 @@
 import org.jujuberouter.dispatch.StoreFreshness;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.id.RequestTrait;
 import org.jujuberouter.misc.ManualTicker;
 import org.jujuberouter.peer.PeerMessage;
 import org.junit.jupiter.api.Test;
@@ -309,6 +310,11 @@
         @Override
         public void renew(Consumer<Boolean> listener) {}
 
+        @Override
+        public void writeConviction(RequestTrait trait, long remainingMs, Consumer<String> listener) {
+            throw new UnsupportedOperationException("no conviction is written here");
+        }
+
         @Override
         public void deregister(Runnable done) {}
     }
