--- a/src/main/java/org/jujuberouter/control/ControlEntry.java
+++ b/src/main/java/org/jujuberouter/control/ControlEntry.java
@@ -1,8 +1,10 @@
 package org.jujuberouter.control;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import org.jujuberouter.catalog.Catalog;
 import org.jujuberouter.catalog.Endpoint;
+import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.RequestTrait;
@@ -21,6 +23,18 @@
     /** A live instance and the address on which its peers connect to it. */
     record Peer(InstanceId instance, InetSocketAddress address) implements ControlEntry {}
 
+    /**
+     * The crash of an endpoint.
+     *
+     * @param suspects the traits of each call that may have crashed it
+     */
+    record EndpointCrash(EndpointId endpoint, List<List<RequestTrait>> suspects) implements ControlEntry {
+        /** Copies the list. */
+        public EndpointCrash {
+            suspects = List.copyOf(suspects);
+        }
+    }
+
     /** The conviction of a trait whose requests crash endpoints. */
     record Conviction(RequestTrait trait) implements ControlEntry {}
 
--- a/src/main/java/org/jujuberouter/control/ControlStore.java
+++ b/src/main/java/org/jujuberouter/control/ControlStore.java
@@ -1,7 +1,9 @@
 package org.jujuberouter.control;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.function.Consumer;
+import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.RequestTrait;
 
@@ -30,6 +32,10 @@
      */
     void writeConviction(RequestTrait trait, long remainingMs, Consumer<String> listener);
 
+    /** Writes a crash, with the suspect calls of one instance; the listener receives null or the reason for a failure. */
+    void writeCrash(
+            EndpointId endpoint, InstanceId reporter, List<List<RequestTrait>> suspects, Consumer<String> listener);
+
     /** Ends the lease of the registration. */
     void deregister(Runnable done);
 }
--- a/src/main/java/org/jujuberouter/dispatch/CrashAttribution.java
+++ b/src/main/java/org/jujuberouter/dispatch/CrashAttribution.java
@@ -35,7 +35,7 @@
     public static final long CONVICTION_MS = 600_000;
 
     /** Time within which reports of a crash of one endpoint are about the same crash; a restart takes longer. */
-    private static final long SAME_CRASH_MS = 1_500;
+    private static final long SAME_CRASH_MS = 3_000;
 
     private static final int MAX_CRASHES = 256;
     private static final int MAX_ANSWERED_TRAITS = 4_096;
@@ -92,11 +92,16 @@
         List<RequestTrait> acquitted = new ArrayList<>();
         for (RequestTrait trait : traits) {
             Long last = answeredAt.get(trait);
-            if (last == null || last < at) {
+            if (last != null && last >= at) {
+                continue;
+            }
+            boolean acquits = crashes.stream().anyMatch(c -> c.at < at && isAccused(trait, c, last));
+            if (acquits) {
+                acquitted.add(trait);
+            }
+            // Most requests are sent once, so their answers need not be remembered.
+            if (acquits || !trait.isWholeRequest()) {
                 answeredAt.put(trait, at);
-                if (crashes.stream().anyMatch(c -> isAccused(trait, c, last) && c.at < at)) {
-                    acquitted.add(trait);
-                }
             }
         }
         return acquitted;
@@ -116,8 +121,10 @@
     /** Convicts the traits to which enough crashes are attributed; returns those that were not convicted before. */
     public List<RequestTrait> convict() {
         long now = ticker.nanos();
-        crashes.removeIf(c -> now - c.at > nanos(CONVICTION_MS));
         convictedUntil.values().removeIf(until -> until - now <= 0);
+        if (!hasCrashes()) {
+            return List.of();
+        }
         Map<RequestTrait, Integer> accusations = countAccusations();
         Map<RequestTrait, Set<Crash>> attributed = new HashMap<>();
         Map<RequestTrait, Set<RequestTrait>> requests = new HashMap<>();
@@ -145,6 +152,15 @@
         return convicted;
     }
 
+    /** Returns whether there are crashes that count. */
+    public boolean hasCrashes() {
+        long now = ticker.nanos();
+        while (!crashes.isEmpty() && now - crashes.peekFirst().at > nanos(CONVICTION_MS)) {
+            crashes.removeFirst();
+        }
+        return !crashes.isEmpty();
+    }
+
     /** Counts the crashes of which each trait is suspected and not acquitted. */
     private Map<RequestTrait, Integer> countAccusations() {
         Map<RequestTrait, Integer> accusations = new HashMap<>();
--- a/src/main/java/org/jujuberouter/gateway/CrashQuarantine.java
+++ b/src/main/java/org/jujuberouter/gateway/CrashQuarantine.java
@@ -38,6 +38,10 @@
     private static final long HEARING_MS = 60;
 
     private static final long STORE_RETRY_MS = 1_000;
+    private static final long MAX_STORE_RETRY_MS = 60_000;
+
+    /** Number of traits from which on the own ones are forgotten; a peer or another crash then reports a conviction. */
+    private static final int MAX_OWN_SUSPECTS = 4_096;
 
     private final Gateway gateway;
     private final EventLoop loop;
@@ -47,7 +51,6 @@
     private final Consumer<PeerMessage.GatewayMessage> broadcast;
     private final Map<EndpointId, List<List<RequestTrait>>> suspicions = new HashMap<>();
     private final Set<RequestTrait> ownSuspects = new HashSet<>();
-    private boolean hasEvidence;
 
     CrashQuarantine(Gateway gateway, ControlStore store, Consumer<PeerMessage.GatewayMessage> broadcast) {
         this.gateway = gateway;
@@ -61,7 +64,7 @@
 
     /** Returns whether endpoints have crashed under requests, so that answers to whole requests matter. */
     boolean hasEvidence() {
-        return hasEvidence;
+        return attribution.hasCrashes();
     }
 
     /** Returns a convicted trait among the given ones. */
@@ -107,16 +110,39 @@
                         Map.entry("endpoint", endpoint.id()),
                         Map.entry("age_ms", ageMs),
                         Map.entry("suspects", listed));
+        if (ownSuspects.size() > MAX_OWN_SUSPECTS) {
+            ownSuspects.clear();
+        }
         listed.forEach(ownSuspects::addAll);
         recordCrash(endpoint.id(), ageMs, listed);
         broadcast.accept(new PeerMessage.EndpointCrashed(
                 endpoint.id(),
                 ageMs,
                 listed.stream().map(PeerMessage.SuspectCall::new).toList()));
+        tellOtherGroups(endpoint.id(), listed);
+    }
+
+    /** Writes the suspect calls whose parts may be guilty to the store, unless all instances are peers of this one. */
+    private void tellOtherGroups(EndpointId endpoint, List<List<RequestTrait>> suspects) {
+        List<List<RequestTrait>> withParts =
+                suspects.stream().filter(s -> s.size() > 1).toList();
+        if (gateway.groupCount() > 1 && !withParts.isEmpty()) {
+            store.writeCrash(endpoint, gateway.instance(), withParts, reason -> {
+                if (reason != null) {
+                    gateway.log()
+                            .stateChanged(
+                                    "crash not written", Map.entry("endpoint", endpoint), Map.entry("reason", reason));
+                }
+            });
+        }
+    }
+
+    /** Handles a crash that an instance wrote to the store; those of this group are known from its message already. */
+    void onStoredCrash(EndpointId endpoint, List<List<RequestTrait>> suspects) {
+        recordCrash(endpoint, 0, suspects);
     }
 
     private void recordCrash(EndpointId endpoint, long ageMs, List<List<RequestTrait>> suspects) {
-        hasEvidence = true;
         attribution.recordCrash(endpoint, ageMs, suspects);
         loop.schedule(this::convict, HEARING_MS, TimeUnit.MILLISECONDS);
     }
@@ -128,25 +154,25 @@
                 // The other instances of the group come to the same conclusion; one report of it is enough for the
                 // rest.
                 broadcast.accept(new PeerMessage.TraitConvicted(trait, attribution.remainingMs(trait)));
-                write(trait);
+                write(trait, STORE_RETRY_MS);
             }
             gateway.endConvictedCalls();
         }
     }
 
-    private void write(RequestTrait trait) {
+    private void write(RequestTrait trait, long retryMs) {
         store.writeConviction(trait, attribution.remainingMs(trait), reason -> {
             if (reason != null) {
                 gateway.log()
                         .stateChanged("conviction not written", Map.entry("trait", trait), Map.entry("reason", reason));
-                loop.schedule(() -> writeAgain(trait), STORE_RETRY_MS, TimeUnit.MILLISECONDS);
+                loop.schedule(() -> writeAgain(trait, retryMs), retryMs, TimeUnit.MILLISECONDS);
             }
         });
     }
 
-    private void writeAgain(RequestTrait trait) {
+    private void writeAgain(RequestTrait trait, long retryMs) {
         if (attribution.remainingMs(trait) > 0) {
-            write(trait);
+            write(trait, Math.min(2 * retryMs, MAX_STORE_RETRY_MS));
         }
     }
 
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -33,6 +33,7 @@
 import org.jujuberouter.dispatch.RetryLimiter;
 import org.jujuberouter.dispatch.StoreFreshness;
 import org.jujuberouter.dispatch.TrackedEndpoint;
+import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.RequestId;
 import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.misc.Ticker;
@@ -267,6 +268,15 @@
         return StoreProof.of(watcher, storeFreshness, viewFreshness, this::configurationVersion);
     }
 
+    /** Returns the number of groups of instances that exchange their work and evidence. */
+    int groupCount() {
+        return peerLoad.groupCount();
+    }
+
+    InstanceId instance() {
+        return options.instance();
+    }
+
     EndpointRegistry registry() {
         return registry;
     }
@@ -370,6 +380,7 @@
             }
             case ControlEntry.Peer p -> peerLoad.peerListed(p.instance(), p.address());
             case ControlEntry.Conviction c -> crashes.onStored(c.trait());
+            case ControlEntry.EndpointCrash c -> crashes.onStoredCrash(c.endpoint(), c.suspects());
             case ControlEntry.Unreadable u ->
                 log.stateChanged("unreadable entry", Map.entry("key", key), Map.entry("reason", u.reason()));
         }
@@ -402,6 +413,9 @@
                 capacityChanged();
             }
             case ControlEntry.Peer p -> peerLoad.peerUnlisted(p.instance(), observedLive);
+            case ControlEntry.EndpointCrash _ -> {
+                // Crashes count longer at the instances than in the store.
+            }
             case ControlEntry.Conviction c -> {
                 // Leases may expire early while the store is away; the conviction then expires at this instance.
                 if (observedLive) {
--- a/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
+++ b/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
@@ -169,6 +169,10 @@
                 .toList());
     }
 
+    int groupCount() {
+        return groupCount;
+    }
+
     int peerCount() {
         return addresses.size();
     }
--- a/src/main/java/org/jujuberouter/id/RequestTrait.java
+++ b/src/main/java/org/jujuberouter/id/RequestTrait.java
@@ -30,6 +30,11 @@
         return new RequestTrait(REQUEST + "/" + service + "/" + fingerprint);
     }
 
+    /** Returns whether this is the trait of one request rather than of a part that requests may share. */
+    public boolean isWholeRequest() {
+        return value.startsWith(REQUEST + "/");
+    }
+
     @Override
     public int compareTo(RequestTrait other) {
         return value.compareTo(other.value);
--- a/src/main/java/org/jujuberouter/platform/KvControlStore.java
+++ b/src/main/java/org/jujuberouter/platform/KvControlStore.java
@@ -17,6 +17,7 @@
 import org.jujuberouter.control.ControlStore;
 import org.jujuberouter.http.JsonClient;
 import org.jujuberouter.http.JsonReply;
+import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.RequestTrait;
 import org.jujuberouter.misc.Json;
@@ -28,6 +29,9 @@
     /** Timeout of a watch beyond its requested wait; the store answers within 4 ms, or 240 ms when it is slow. */
     private static final long WATCH_MARGIN_MS = 800;
 
+    /** Time for which a crash stays in the store; instances that follow the store learn of it within a second. */
+    private static final long CRASH_LEASE_MS = 60_000;
+
     private final JsonClient client;
     private final JsonClient watchClient;
     private long lease;
@@ -118,20 +122,31 @@
 
     @Override
     public void writeConviction(RequestTrait trait, long remainingMs, Consumer<String> listener) {
-        grantLease(remainingMs, listener, granted -> {
+        writeOnce(StoreKeys.CONVICTIONS + trait.value(), new byte[0], remainingMs, listener);
+    }
+
+    @Override
+    public void writeCrash(
+            EndpointId endpoint, InstanceId reporter, List<List<RequestTrait>> suspects, Consumer<String> listener) {
+        String key = StoreKeys.CRASHES + endpoint.value() + "/" + reporter.value();
+        writeOnce(key, KvValueCodec.encodeSuspects(suspects), CRASH_LEASE_MS, listener);
+    }
+
+    /** Writes a key under a lease of its own unless it exists. */
+    private void writeOnce(String key, byte[] value, long leaseMs, Consumer<String> listener) {
+        grantLease(leaseMs, listener, granted -> {
             ObjectNode transaction = Json.MAPPER.createObjectNode();
-            String key = StoreKeys.CONVICTIONS + trait.value();
             transaction.putArray("Expected").addObject().put("Key", key).put("Rev", 0);
             transaction.putArray("Delete");
             transaction
                     .putArray("Puts")
                     .addObject()
                     .put("Key", key)
-                    .put("Value", "")
+                    .put("Value", Base64.getEncoder().encodeToString(value))
                     .put("Lease", granted);
             client.call("POST", "/v1/kv-txn", bytes(transaction), CALL_TIMEOUT_MS, reply -> {
                 boolean exists = reply instanceof JsonReply.Response r && (r.status() == 200 || r.status() == 412);
-                listener.accept(exists ? null : failed("conviction", reply).reason());
+                listener.accept(exists ? null : failed("write of " + key, reply).reason());
             });
         });
     }
--- a/src/main/java/org/jujuberouter/platform/KvValueCodec.java
+++ b/src/main/java/org/jujuberouter/platform/KvValueCodec.java
@@ -1,10 +1,14 @@
 package org.jujuberouter.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Base64;
+import java.util.List;
 import java.util.Optional;
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.control.ControlEntry;
@@ -39,15 +43,41 @@
                 JsonNode peer = Json.MAPPER.readTree(value);
                 return new ControlEntry.Peer(InstanceId.of(id), Addresses.parse(text(peer, "peers")));
             }
+            if (key.startsWith(StoreKeys.CRASHES)) {
+                String id = key.substring(StoreKeys.CRASHES.length()).split("/")[0];
+                return new ControlEntry.EndpointCrash(EndpointId.of(id), suspects(Json.MAPPER.readTree(value)));
+            }
             return new ControlEntry.Unreadable("unknown key");
         } catch (IOException | IllegalArgumentException e) {
             return new ControlEntry.Unreadable(String.valueOf(e.getMessage()));
         }
     }
 
+    private static List<List<RequestTrait>> suspects(JsonNode calls) {
+        List<List<RequestTrait>> suspects = new ArrayList<>();
+        for (JsonNode call : calls) {
+            List<RequestTrait> traits = new ArrayList<>();
+            call.forEach(trait -> traits.add(RequestTrait.of(trait.asText())));
+            if (traits.isEmpty()) {
+                throw new IllegalArgumentException("a suspect call has no traits");
+            }
+            suspects.add(traits);
+        }
+        return suspects;
+    }
+
+    static byte[] encodeSuspects(List<List<RequestTrait>> suspects) {
+        ArrayNode calls = Json.MAPPER.createArrayNode();
+        suspects.forEach(traits -> {
+            ArrayNode call = calls.addArray();
+            traits.forEach(t -> call.add(t.value()));
+        });
+        return calls.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
     static byte[] encodePeer(InetSocketAddress address) {
         ObjectNode value = Json.MAPPER.createObjectNode().put("peers", Addresses.format(address));
-        return value.toString().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+        return value.toString().getBytes(StandardCharsets.UTF_8);
     }
 
     private static Endpoint endpoint(String id, JsonNode entry) {
--- a/src/main/java/org/jujuberouter/platform/StoreKeys.java
+++ b/src/main/java/org/jujuberouter/platform/StoreKeys.java
@@ -17,5 +17,8 @@
     /** Prefix of the convictions of traits whose requests crash endpoints; followed by the trait. */
     static final String CONVICTIONS = "convictions/";
 
+    /** Prefix of crashes of endpoints; followed by the endpoint's id, a slash and the id of the reporting instance. */
+    static final String CRASHES = "crashes/";
+
     private StoreKeys() {}
 }
--- a/src/test/java/org/jujuberouter/control/StoreWatcherTest.java
+++ b/src/test/java/org/jujuberouter/control/StoreWatcherTest.java
@@ -14,6 +14,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.jujuberouter.dispatch.StoreFreshness;
+import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.RequestTrait;
@@ -101,6 +102,15 @@
         @Override
         public void renew(Consumer<Boolean> answer) {}
 
+        @Override
+        public void writeCrash(
+                EndpointId endpoint,
+                InstanceId reporter,
+                List<List<RequestTrait>> suspects,
+                Consumer<String> listener) {
+            throw new UnsupportedOperationException("no crash is written here");
+        }
+
         @Override
         public void writeConviction(RequestTrait trait, long remainingMs, Consumer<String> listener) {
             throw new UnsupportedOperationException("no conviction is written here");
--- a/src/test/java/org/jujuberouter/gateway/CrashQuarantineTest.java
+++ b/src/test/java/org/jujuberouter/gateway/CrashQuarantineTest.java
@@ -123,6 +123,20 @@
         assertEquals(crashesBefore, crashes());
     }
 
+    /** Three crashes convict a part even if no group of instances has seen all of them. */
+    @Test
+    void countsCrashesThatInstancesOfOtherGroupsWroteToTheStore() throws Exception {
+        URI first = startInstance("first");
+        for (int i = 0; i < 3; i++) {
+            String call = "[[\"part/assistant/" + DEADLY + "\",\"request/assistant/f" + i + "\"]]";
+            site.store().put("crashes/other-engine-" + i + "/other-instance", call);
+        }
+        // An answer to such a request before the conviction would acquit the part.
+        Thread.sleep(CONTACT_MS);
+        assertEquals(503, status(send(first, SHARED + ":40," + DEADLY)));
+        assertEquals(200, status(send(first, SHARED)));
+    }
+
     /** An operator deletes the key once the cause is repaired. */
     @Test
     void servesRequestsAgainWhenTheConvictionIsDeleted() throws Exception {
--- a/src/test/java/org/jujuberouter/gateway/StoreProofSimulationTest.java
+++ b/src/test/java/org/jujuberouter/gateway/StoreProofSimulationTest.java
@@ -23,6 +23,7 @@
 import org.jujuberouter.control.StoreListener;
 import org.jujuberouter.control.StoreWatcher;
 import org.jujuberouter.dispatch.StoreFreshness;
+import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.RequestTrait;
@@ -310,6 +311,15 @@
         @Override
         public void renew(Consumer<Boolean> listener) {}
 
+        @Override
+        public void writeCrash(
+                EndpointId endpoint,
+                InstanceId reporter,
+                List<List<RequestTrait>> suspects,
+                Consumer<String> listener) {
+            throw new UnsupportedOperationException("no crash is written here");
+        }
+
         @Override
         public void writeConviction(RequestTrait trait, long remainingMs, Consumer<String> listener) {
             throw new UnsupportedOperationException("no conviction is written here");
