--- a/src/main/java/org/jujuberouter/gateway/EventSplitter.java
+++ b/src/main/java/org/jujuberouter/gateway/EventSplitter.java
@@ -19,7 +19,7 @@
     /** Bytes before the end of a blank line that decide whether the line is blank. */
     private static final int MAX_BOUNDARY_BYTES = 3;
 
-    private ByteBuf pending = Unpooled.buffer(256);
+    private final ByteBuf pending = Unpooled.buffer(256);
     private String lastId;
 
     private EventSplitter(String lastId) {
@@ -59,11 +59,9 @@
         return events;
     }
 
-    /** Returns the bytes after the last event boundary, at the regular end of a stream. */
-    ByteBuf takeRemainder() {
-        ByteBuf remainder = pending;
-        pending = Unpooled.buffer(0);
-        return remainder;
+    /** Returns whether there are bytes after the last complete event. */
+    boolean hasPartialEvent() {
+        return pending.isReadable();
     }
 
     /** Discards a partial event before another engine resumes after the last complete one. */
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -436,6 +436,11 @@
     }
 
     private void completeResponse() {
+        if (response.isBrokenOff()) {
+            onAttemptFailed(
+                    new CallFailure(CallFailure.Kind.CLOSED, true, "the stream ended before the end of an event"));
+            return;
+        }
         attempt.endpoint.recordSuccess();
         traits.answered(gateway.crashes());
         telemetry.answered(attempt.endpoint.registration(), response.status(), route);
--- a/src/main/java/org/jujuberouter/gateway/ResponseRelay.java
+++ b/src/main/java/org/jujuberouter/gateway/ResponseRelay.java
@@ -23,6 +23,7 @@
     private EventSplitter events;
     private ByteBuf bufferedBody;
     private boolean started;
+    private boolean eventRelayed;
 
     private ResponseRelay(CallerConnection caller, Runnable onSlowCaller) {
         this.caller = caller;
@@ -75,6 +76,7 @@
         if (events != null) {
             ByteBuf complete = events.feed(piece);
             if (complete.isReadable()) {
+                eventRelayed = true;
                 write(complete);
                 return true;
             }
@@ -97,6 +99,15 @@
         }
     }
 
+    /**
+     * Returns whether a response that has ended is a stream that was broken off: within an event, or before the first one.
+     * A stream without a length ends with its connection, also when its endpoint fails.
+     */
+    boolean isBrokenOff() {
+        return events != null
+                && (events.hasPartialEvent() || !eventRelayed && events.lastId().isEmpty());
+    }
+
     /** Discards what cannot be relayed because its endpoint failed. */
     void discardIncomplete() {
         if (events != null) {
@@ -115,12 +126,6 @@
             caller.writeResponse(complete);
             return;
         }
-        if (events != null) {
-            ByteBuf remainder = events.takeRemainder();
-            if (remainder.isReadable()) {
-                caller.writeChunk(remainder);
-            }
-        }
         caller.endResponse();
     }
 }
--- /dev/null
+++ b/src/test/java/org/jujuberouter/gateway/FaultyAnswersTest.java
@@ -0,0 +1,192 @@
+package org.jujuberouter.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Function;
+import org.jujuberouter.platform.HttpPlatformAdapter;
+import org.jujuberouter.platform.NodeFile;
+import org.jujuberouter.platform.standin.StandinSite;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Runs an instance before engines whose answers are written byte by byte, to violate the protocol or to frame unusually. */
+class FaultyAnswersTest {
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final List<RawEngine> engines = new ArrayList<>();
+    private final List<String> received = new CopyOnWriteArrayList<>();
+    private StandinSite site;
+    private URI base;
+
+    @TempDir
+    private Path files;
+
+    @BeforeAll
+    static void allowHostHeader() {
+        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
+    }
+
+    @BeforeEach
+    void startSite() throws Exception {
+        site = StandinSite.start(1, 1, 20);
+        Path file = files.resolve("node.json");
+        base = URI.create(
+                "http://127.0.0.1:" + site.writeNodeFile(file, "first").getPort());
+        GatewayDaemon.start(NodeFile.read(file), HttpPlatformAdapter.create());
+        long end = System.nanoTime() + Duration.ofSeconds(10).toNanos();
+        while (send("/read/x", "warm-" + System.nanoTime()).statusCode() != 200) {
+            assertTrue(System.nanoTime() < end, "not ready within 10 s");
+            Thread.sleep(50);
+        }
+        site.engines().forEach(e -> site.store().remove("servers/" + e.id()));
+        site.ledgers().forEach(e -> site.store().remove("servers/" + e.id()));
+    }
+
+    @AfterEach
+    void stopSite() throws IOException {
+        client.close();
+        for (RawEngine e : engines) {
+            e.socket.close();
+        }
+        site.close();
+    }
+
+    /** Answers each request with the text that the function returns for its head, and closes the connection. */
+    private record RawEngine(ServerSocket socket) {}
+
+    private void startEngine(String service, Function<String, String> answers) throws Exception {
+        ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        engines.add(new RawEngine(socket));
+        Thread.ofVirtual().start(() -> serve(socket, answers));
+        site.store().put("servers/raw-" + engines.size(), """
+                        {"Service":"%s","Address":"127.0.0.1:%d","Zone":"north","Slots":8,"State":"ready",
+                         "ColdRemainingMs":0,"Sequence":1}""".formatted(service, socket.getLocalPort()));
+        Thread.sleep(400);
+    }
+
+    private void serve(ServerSocket socket, Function<String, String> answers) {
+        while (!socket.isClosed()) {
+            try (Socket s = socket.accept()) {
+                BufferedReader in =
+                        new BufferedReader(new InputStreamReader(s.getInputStream(), StandardCharsets.US_ASCII));
+                StringBuilder head = new StringBuilder();
+                for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
+                    head.append(line.toLowerCase(java.util.Locale.ROOT)).append('\n');
+                }
+                if (!head.isEmpty()) {
+                    in.skip("the body".length());
+                    received.add(head.toString());
+                    s.getOutputStream().write(answers.apply(head.toString()).getBytes(StandardCharsets.US_ASCII));
+                }
+            } catch (IOException e) {
+                // The instance closed the connection, or the test has ended.
+                continue;
+            }
+        }
+    }
+
+    private static String field(String head, String name) {
+        return head.lines()
+                .filter(l -> l.startsWith(name + ": "))
+                .map(l -> l.substring(name.length() + 2))
+                .findFirst()
+                .orElse("");
+    }
+
+    private static String unframedStream(String head, String events) {
+        return "HTTP/1.1 200 OK\r\nX-Jujuberouter-Attempt-Id: " + field(head, "x-jujuberouter-attempt-id")
+                + "\r\nX-Jujuberouter-Response-Signature: signed\r\nContent-Type: text/event-stream\r\n\r\n" + events;
+    }
+
+    private static String events(int from, int to) {
+        StringBuilder all = new StringBuilder();
+        for (int i = from; i <= to; i++) {
+            all.append("id: ").append(i).append("\ndata: ").append(i).append("\n\n");
+        }
+        return all.toString();
+    }
+
+    private HttpResponse<String> send(String path, String id) throws IOException, InterruptedException {
+        HttpRequest request = StandinSite.request(base.resolve(path), id)
+                .timeout(Duration.ofSeconds(10))
+                .POST(HttpRequest.BodyPublishers.ofString("the body"))
+                .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** A stream without length and chunks ends with its connection, also when its engine crashes within an event. */
+    @Test
+    void resumesAnUnframedStreamThatEndsInsideAnEvent() throws Exception {
+        Function<String, String> answers = head -> field(head, "last-event-id").isEmpty()
+                ? unframedStream(head, events(1, 3) + "id: 4\nda")
+                : unframedStream(head, events(4, 6));
+        startEngine("assistant", answers);
+        startEngine("assistant", answers);
+        HttpResponse<String> answer = send("/chat/stream", "unframed");
+        assertEquals(200, answer.statusCode());
+        assertEquals(events(1, 6), answer.body());
+    }
+
+    /** The text of an error must not be taken for events, nor may the stream look complete. */
+    @Test
+    void showsNothingOfAnErrorWithWhichTheNextEngineAnswersABrokenStream() throws Exception {
+        Function<String, String> answers = head -> field(head, "last-event-id").isEmpty()
+                ? unframedStream(head, events(1, 3) + "id: 4\nda")
+                : "HTTP/1.1 500 Internal Server Error\r\nX-Jujuberouter-Attempt-Id: unsound\r\n"
+                        + "X-Jujuberouter-Response-Signature: signed\r\nContent-Length: 13\r\n\r\nout of memory";
+        startEngine("assistant", answers);
+        startEngine("assistant", answers);
+        startEngine("assistant", answers);
+        assertThrows(IOException.class, () -> send("/chat/stream", "unsound"));
+    }
+
+    /** A refusal of an earlier request must not make a request that runs look as if it had not. */
+    @Test
+    void takesNoRefusalOfAnotherRequestForThatOfItsOwn() throws Exception {
+        startEngine(
+                "ledger",
+                head -> "HTTP/1.1 503 Service Unavailable\r\nX-Jujuberouter-Attempt-Id: earlier\r\n"
+                        + "X-Jujuberouter-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                        + "HTTP/1.1 200 OK\r\nX-Jujuberouter-Attempt-Id: post\r\n"
+                        + "X-Jujuberouter-Response-Signature: signed\r\nContent-Length: 4\r\n\r\ndone");
+        HttpResponse<String> answer = send("/post/x", "post");
+        assertEquals(200, answer.statusCode());
+        assertEquals("done", answer.body());
+        assertEquals(1, received.size());
+    }
+
+    /** Only the refusal of an earlier request arrives before the connection ends. */
+    @Test
+    void doesNotPromiseThatARequestHasNotRunAfterTheRefusalOfAnother() throws Exception {
+        startEngine(
+                "ledger",
+                head -> "HTTP/1.1 503 Service Unavailable\r\nX-Jujuberouter-Attempt-Id: earlier\r\n"
+                        + "X-Jujuberouter-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        HttpResponse<String> answer = send("/post/x", "post");
+        assertEquals(502, answer.statusCode());
+        assertEquals(1, received.size());
+        assertFalse(answer.headers().firstValue("X-Jujuberouter-Not-Executed").isPresent());
+    }
+}
