--- a/src/main/java/org/jujuberouter/platform/KvValueCodec.java
+++ b/src/main/java/org/jujuberouter/platform/KvValueCodec.java
@@ -100,13 +100,16 @@
                 number(entry, "born"));
     }
 
-    /** Returns the field as an integer, or 0 if it is absent; throws if it has another type. */
+    /** Returns the field as an integer, or 0 if it is absent; throws if it is negative, too large or no number. */
     private static long number(JsonNode entry, String field) {
         JsonNode value = entry.path(field);
-        if (!value.isMissingNode() && !value.isNumber()) {
-            throw new IllegalArgumentException(field + " is not a number: " + value);
+        if (value.isMissingNode()) {
+            return 0;
         }
-        return value.asLong(0);
+        if (!value.isNumber() || !value.canConvertToLong() || value.asLong() < 0) {
+            throw new IllegalArgumentException(field + " is not a number from 0 to 2^63 - 1: " + value);
+        }
+        return value.asLong();
     }
 
     static String text(JsonNode entry, String field) {
--- a/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
+++ b/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
@@ -2,10 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import java.util.concurrent.atomic.AtomicReference;
 import org.jujuberouter.catalog.Catalog;
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.catalog.RetryPolicy;
@@ -50,6 +52,34 @@
         assertInstanceOf(ControlEntry.Unreadable.class, KvValueCodec.decode("servers/i-1", "%%%"));
     }
 
+    /** Another writer may leave any value among the registrations; it must not end the process that reads it. */
+    @Test
+    void reportsExtremeValuesAsUnreadable() throws Exception {
+        assertUnreadable(ENTRY.replace("10.128.0.9:8080", "10.128.0.9:70000"));
+        assertUnreadable(ENTRY.replace("10.128.0.9:8080", "10.128.0.9:-1"));
+        assertUnreadable(ENTRY.replace("10.128.0.9:8080", "10.128.0.9:0"));
+        assertUnreadable(ENTRY.replace("10.128.0.9:8080", "10.128.0.9:99999999999"));
+        assertUnreadable(ENTRY.replace("10.128.0.9:8080", "10.128.0.999:8080"));
+        assertUnreadable(ENTRY.replace("10.128.0.9:8080", "10.128.0:8080"));
+        assertUnreadable(ENTRY.replace("10.128.0.9:8080", "...:8080"));
+        assertUnreadable(ENTRY.replace("11", "99999999999999999999"));
+        assertUnreadable(ENTRY.replace("700", "99999999999999999999"));
+        assertUnreadable(ENTRY.replace("700", "1e400"));
+        assertUnreadable(ENTRY.replace("700", "-1"));
+        assertUnreadable(ENTRY.replace("1700000000000", "9".repeat(2_000)));
+        assertUnreadable("[".repeat(100_000));
+        Thread smallStack = new Thread(
+                null,
+                () -> assertUnreadable(ENTRY.replace("11", "[".repeat(900) + "]".repeat(900))),
+                "small-stack",
+                256 << 10);
+        AtomicReference<Throwable> failure = new AtomicReference<>();
+        smallStack.setUncaughtExceptionHandler((_, e) -> failure.set(e));
+        smallStack.start();
+        smallStack.join();
+        assertNull(failure.get());
+    }
+
     @Test
     void derivesTheCallersTimeoutFromObjectiveAndGap() {
         assertEquals(2_000, callerTimeoutMs("streaming", 300, 250));
