--- a/src/main/java/org/jujuberouter/control/StoreWatcher.java
+++ b/src/main/java/org/jujuberouter/control/StoreWatcher.java
@@ -250,6 +250,10 @@
         }
         switch (event) {
             case ControlEvent.Written written -> {
+                if (last != null && last.entry().getClass() != written.entry().getClass()) {
+                    // A value that names an endpoint was overwritten by one that names none, or the reverse.
+                    listener.onRemoved(written.key(), last.entry(), true);
+                }
                 entries.put(written.key(), written);
                 listener.onWritten(written.key(), written.entry());
             }
--- a/src/test/java/org/jujuberouter/gateway/FaultyAnswersTest.java
+++ b/src/test/java/org/jujuberouter/gateway/FaultyAnswersTest.java
@@ -177,6 +177,23 @@
         assertEquals(1, received.size());
     }
 
+    /** The entry of an engine that another writer overwrites names no engine, also once it is deleted. */
+    @Test
+    void sendsNothingToAnEngineWhoseRegistrationWasOverwritten() throws Exception {
+        startEngine(
+                "ledger",
+                head -> "HTTP/1.1 200 OK\r\nX-Jujuberouter-Attempt-Id: " + field(head, "x-jujuberouter-attempt-id")
+                        + "\r\nX-Jujuberouter-Response-Signature: signed\r\nContent-Length: 4\r\n\r\ndone");
+        assertEquals(200, send("/post/x", "before").statusCode());
+        site.store().put("servers/raw-1", "[".repeat(2_000));
+        Thread.sleep(400);
+        assertEquals(503, send("/post/x", "overwritten").statusCode());
+        site.store().remove("servers/raw-1");
+        Thread.sleep(400);
+        assertEquals(503, send("/post/x", "deleted").statusCode());
+        assertEquals(1, received.size());
+    }
+
     /** Only the refusal of an earlier request arrives before the connection ends. */
     @Test
     void doesNotPromiseThatARequestHasNotRunAfterTheRefusalOfAnother() throws Exception {
