--- a/src/main/java/org/jujuberouter/dispatch/CrashAttribution.java
+++ b/src/main/java/org/jujuberouter/dispatch/CrashAttribution.java
@@ -44,6 +44,9 @@
     private final Deque<Crash> crashes = new ArrayDeque<>();
     private final Map<RequestTrait, Long> convictedUntil = new HashMap<>();
 
+    /** The latest crash of which each trait is suspected; answers are checked against it, which are frequent. */
+    private final Map<RequestTrait, Long> accusedAt = new HashMap<>();
+
     private final Map<RequestTrait, Long> answeredAt = new LinkedHashMap<>(64, 0.75f, true) {
         @Override
         protected boolean removeEldestEntry(Map.Entry<RequestTrait, Long> eldest) {
@@ -71,15 +74,24 @@
      */
     public void recordCrash(EndpointId endpoint, long ageMs, List<List<RequestTrait>> suspects) {
         long at = ticker.nanos() - nanos(ageMs);
-        for (Crash c : crashes) {
-            if (c.endpoint.equals(endpoint) && Math.abs(c.at - at) < nanos(SAME_CRASH_MS)) {
-                c.suspects.addAll(suspects);
-                return;
+        Optional<Crash> known = crashes.stream()
+                .filter(c -> c.endpoint.equals(endpoint) && Math.abs(c.at - at) < nanos(SAME_CRASH_MS))
+                .findFirst();
+        if (known.isPresent()) {
+            known.get().suspects.addAll(suspects);
+        } else {
+            crashes.addLast(new Crash(endpoint, at, new HashSet<>(suspects)));
+            if (crashes.size() > MAX_CRASHES) {
+                crashes.removeFirst();
             }
         }
-        crashes.addLast(new Crash(endpoint, at, new HashSet<>(suspects)));
-        if (crashes.size() > MAX_CRASHES) {
-            crashes.removeFirst();
+        indexAccusations();
+    }
+
+    private void indexAccusations() {
+        accusedAt.clear();
+        for (Crash c : crashes) {
+            c.suspects.forEach(s -> s.forEach(t -> accusedAt.merge(t, c.at, Math::max)));
         }
     }
 
@@ -95,7 +107,8 @@
             if (last != null && last >= at) {
                 continue;
             }
-            boolean acquits = crashes.stream().anyMatch(c -> c.at < at && isAccused(trait, c, last));
+            Long accused = accusedAt.get(trait);
+            boolean acquits = accused != null && accused < at && (last == null || last <= accused);
             if (acquits) {
                 acquitted.add(trait);
             }
@@ -155,8 +168,8 @@
     /** Returns whether there are crashes that count. */
     public boolean hasCrashes() {
         long now = ticker.nanos();
-        while (!crashes.isEmpty() && now - crashes.peekFirst().at > nanos(CONVICTION_MS)) {
-            crashes.removeFirst();
+        if (!crashes.isEmpty() && crashes.removeIf(c -> now - c.at > nanos(CONVICTION_MS))) {
+            indexAccusations();
         }
         return !crashes.isEmpty();
     }
@@ -193,6 +206,7 @@
     public void lift(RequestTrait trait) {
         convictedUntil.remove(trait);
         crashes.removeIf(c -> c.suspects.stream().anyMatch(s -> s.contains(trait)));
+        indexAccusations();
     }
 
     /** Returns a convicted trait among the given ones. */
--- a/src/main/java/org/jujuberouter/gateway/CallTraits.java
+++ b/src/main/java/org/jujuberouter/gateway/CallTraits.java
@@ -46,7 +46,7 @@
 
     /** Returns a trait of the call that is convicted. */
     Optional<RequestTrait> convicted(CrashQuarantine crashes) {
-        return crashes.findConvicted(crashes.hasEvidence() ? all() : parts);
+        return crashes.hasConvictions() ? crashes.findConvicted(all()) : Optional.empty();
     }
 
     /** Records that an endpoint answers the call. */
--- a/src/main/java/org/jujuberouter/gateway/CrashQuarantine.java
+++ b/src/main/java/org/jujuberouter/gateway/CrashQuarantine.java
@@ -67,6 +67,11 @@
         return attribution.hasCrashes();
     }
 
+    /** Returns whether requests with some trait are refused. */
+    boolean hasConvictions() {
+        return attribution.convictedCount() > 0;
+    }
+
     /** Returns a convicted trait among the given ones. */
     Optional<RequestTrait> findConvicted(List<RequestTrait> traits) {
         return attribution.findConvicted(traits);
