--- a/src/test/java/org/jujuberouter/gateway/CrashQuarantineTest.java
+++ b/src/test/java/org/jujuberouter/gateway/CrashQuarantineTest.java
@@ -5,22 +5,15 @@
 
 import java.io.IOException;
 import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.function.BooleanSupplier;
-import org.jujuberouter.platform.HttpPlatformAdapter;
-import org.jujuberouter.platform.NodeFile;
 import org.jujuberouter.platform.standin.EngineStandin;
 import org.jujuberouter.platform.standin.StandinSite;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -36,39 +29,32 @@
     /** Time within which all instances must refuse them. */
     private static final long CONTACT_MS = 3_000;
 
-    private final HttpClient client =
-            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final List<GatewayDaemon> daemons = new ArrayList<>();
     private StandinSite site;
+    private InstanceFixture fixture;
     private int calls;
 
     @TempDir
     private Path files;
 
-    @BeforeAll
-    static void allowHostHeader() {
-        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
-    }
-
     @BeforeEach
     void startSite() throws Exception {
         site = StandinSite.start(8, 1, 20);
+        fixture = InstanceFixture.before(site, files);
     }
 
     @AfterEach
     void stopSite() {
-        client.close();
+        fixture.close();
         daemons.forEach(GatewayDaemon::close);
         site.close();
     }
 
     private URI startInstance(String name) throws Exception {
-        Path file = files.resolve(name + ".json");
-        URI base =
-                URI.create("http://127.0.0.1:" + site.writeNodeFile(file, name).getPort());
-        daemons.add(GatewayDaemon.start(NodeFile.read(file), HttpPlatformAdapter.create()));
-        await(() -> status(send(base, SHARED)) == 200);
-        return base;
+        InstanceFixture.Instance instance = fixture.start(name);
+        daemons.add(instance.daemon());
+        InstanceFixture.await(() -> status(send(instance.base(), SHARED)) == 200);
+        return instance.base();
     }
 
     /** The engines crash one after the other if each instance only bounds its own retries. */
@@ -113,7 +99,7 @@
         for (int i = 0; i < 4; i++) {
             status(send(first, SHARED + ":40," + DEADLY));
         }
-        await(() -> !site.store().keys("convictions/").isEmpty());
+        InstanceFixture.await(() -> !site.store().keys("convictions/").isEmpty());
         daemons.removeFirst().close();
         int crashesBefore = crashes();
         URI second = startInstance("second");
@@ -145,11 +131,11 @@
         for (int i = 0; i < 4; i++) {
             status(send(first, SHARED + ":40," + DEADLY));
         }
-        await(() -> !site.store().keys("convictions/").isEmpty());
+        InstanceFixture.await(() -> !site.store().keys("convictions/").isEmpty());
         assertEquals(503, status(send(first, SHARED + ":40," + DEADLY)));
         site.engines().forEach(e -> e.setDeadlyPart(""));
         site.store().keys("convictions/").forEach(site.store()::remove);
-        await(() -> status(send(first, SHARED + ":40," + DEADLY)) == 200);
+        InstanceFixture.await(() -> status(send(first, SHARED + ":40," + DEADLY)) == 200);
     }
 
     private int crashes() {
@@ -158,13 +144,9 @@
 
     /** Sends a request with its own id, body and last part. */
     private CompletableFuture<HttpResponse<String>> send(URI base, String sharedParts) {
-        String id = "call-" + calls++;
-        HttpRequest request = StandinSite.request(base.resolve("/talk/stream"), id)
-                .header("X-Jujuberouter-Prefix-Hash", sharedParts + ":60," + Integer.toHexString(calls) + ":900")
-                .timeout(Duration.ofSeconds(10))
-                .POST(HttpRequest.BodyPublishers.ofString("the body of " + id))
-                .build();
-        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
+        String lastPart = Integer.toHexString(++calls) + ":900";
+        return fixture.send(
+                base, "/talk/stream", "call-" + calls, "X-Jujuberouter-Prefix-Hash", sharedParts + ":60," + lastPart);
     }
 
     /** Returns the status, or 0 if the answer was cut. */
@@ -176,12 +158,4 @@
             return 0;
         }
     }
-
-    private static void await(BooleanSupplier condition) throws InterruptedException {
-        long end = System.nanoTime() + Duration.ofSeconds(10).toNanos();
-        while (!condition.getAsBoolean()) {
-            assertTrue(System.nanoTime() < end, "the condition was not met within 10 s");
-            Thread.sleep(20);
-        }
-    }
 }
--- a/src/test/java/org/jujuberouter/gateway/FaultyAnswersTest.java
+++ b/src/test/java/org/jujuberouter/gateway/FaultyAnswersTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -12,61 +11,44 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import org.jujuberouter.platform.HttpPlatformAdapter;
-import org.jujuberouter.platform.NodeFile;
 import org.jujuberouter.platform.standin.StandinSite;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
 /** Runs an instance before engines whose answers are written byte by byte, to violate the protocol or to frame unusually. */
 class FaultyAnswersTest {
-    private final HttpClient client =
-            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private final List<RawEngine> engines = new ArrayList<>();
     private final List<String> received = new CopyOnWriteArrayList<>();
     private StandinSite site;
+    private InstanceFixture fixture;
     private URI base;
 
     @TempDir
     private Path files;
 
-    @BeforeAll
-    static void allowHostHeader() {
-        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
-    }
-
     @BeforeEach
     void startSite() throws Exception {
         site = StandinSite.start(1, 1, 20);
-        Path file = files.resolve("node.json");
-        base = URI.create(
-                "http://127.0.0.1:" + site.writeNodeFile(file, "first").getPort());
-        GatewayDaemon.start(NodeFile.read(file), HttpPlatformAdapter.create());
-        long end = System.nanoTime() + Duration.ofSeconds(10).toNanos();
-        while (send("/read/x", "warm-" + System.nanoTime()).statusCode() != 200) {
-            assertTrue(System.nanoTime() < end, "not ready within 10 s");
-            Thread.sleep(50);
-        }
+        fixture = InstanceFixture.before(site, files);
+        base = fixture.start("first").base();
         site.engines().forEach(e -> site.store().remove("servers/" + e.id()));
         site.ledgers().forEach(e -> site.store().remove("servers/" + e.id()));
     }
 
     @AfterEach
     void stopSite() throws IOException {
-        client.close();
+        fixture.close();
         for (RawEngine e : engines) {
             e.socket.close();
         }
@@ -96,7 +78,7 @@
                     head.append(line.toLowerCase(java.util.Locale.ROOT)).append('\n');
                 }
                 if (!head.isEmpty()) {
-                    in.skip("the body".length());
+                    in.skip(Long.parseLong(field(head.toString(), "content-length")));
                     received.add(head.toString());
                     s.getOutputStream().write(answers.apply(head.toString()).getBytes(StandardCharsets.US_ASCII));
                 }
@@ -128,12 +110,12 @@
         return all.toString();
     }
 
-    private HttpResponse<String> send(String path, String id) throws IOException, InterruptedException {
-        HttpRequest request = StandinSite.request(base.resolve(path), id)
-                .timeout(Duration.ofSeconds(10))
-                .POST(HttpRequest.BodyPublishers.ofString("the body"))
-                .build();
-        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    private HttpResponse<String> send(String path, String id) throws Exception {
+        try {
+            return fixture.send(base, path, id).get(10, TimeUnit.SECONDS);
+        } catch (ExecutionException e) {
+            throw e.getCause() instanceof IOException broken ? broken : e;
+        }
     }
 
     /** A stream without length and chunks ends with its connection, also when its engine crashes within an event. */
--- a/src/test/java/org/jujuberouter/gateway/MemoryReservationTest.java
+++ b/src/test/java/org/jujuberouter/gateway/MemoryReservationTest.java
@@ -3,13 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.net.InetSocketAddress;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -17,15 +12,11 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.jujuberouter.misc.Json;
-import org.jujuberouter.platform.HttpPlatformAdapter;
-import org.jujuberouter.platform.NodeFile;
 import org.jujuberouter.platform.standin.EngineStandin;
 import org.jujuberouter.platform.standin.EngineStandin.Behaviour;
 import org.jujuberouter.platform.standin.StandinSite;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -41,33 +32,23 @@
     /** More than the 200,000 tokens of one engine, and less than that of two. */
     private static final String LARGE_PROMPT = "300000,100";
 
-    private final HttpClient client =
-            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private StandinSite site;
-    private GatewayDaemon daemon;
-    private URI base;
+    private InstanceFixture fixture;
+    private InstanceFixture.Instance instance;
 
     @TempDir
     private Path files;
 
-    @BeforeAll
-    static void allowHostHeader() {
-        System.setProperty("jdk.httpclient.allowRestrictedHeaders", "host");
-    }
-
     @BeforeEach
     void startSite() throws Exception {
         site = StandinSite.start(3, 1, 300);
-        Path file = files.resolve("node.json");
-        InetSocketAddress address = site.writeNodeFile(file, "first");
-        base = URI.create("http://127.0.0.1:" + address.getPort());
-        daemon = GatewayDaemon.start(NodeFile.read(file), HttpPlatformAdapter.create());
-        await(() -> send("/read/x", "warm-" + System.nanoTime(), "0,0").join().statusCode() == 200);
+        fixture = InstanceFixture.before(site, files);
+        instance = fixture.start("first");
     }
 
     @AfterEach
     void stopSite() {
-        client.close();
+        fixture.close();
         site.close();
     }
 
@@ -75,7 +56,7 @@
     @Test
     void freesMemoryThatALateOrderReservesAfterItsRelease() throws Exception {
         CompletableFuture<HttpResponse<String>> answer = send("/chat/stream", "late", LARGE_PROMPT);
-        await(() -> running("late"));
+        InstanceFixture.await(() -> running("late"));
         site.engines().forEach(e -> e.setOrderDelay("reserve", 6_500));
         assertEquals(200, answer.join().statusCode());
         assertLeakBelow(MIN_LEAK_MS, 10_000);
@@ -85,13 +66,13 @@
     @Test
     void repeatsAReleaseThatIsNotAnswered() throws Exception {
         CompletableFuture<HttpResponse<String>> answer = send("/chat/stream", "unreleased", LARGE_PROMPT);
-        await(() -> running("unreleased"));
+        InstanceFixture.await(() -> running("unreleased"));
         site.engines().forEach(e -> e.setOrderDelay("release", 30_000));
         assertEquals(200, answer.join().statusCode());
         long ended = System.nanoTime();
         Thread.sleep(200);
         site.engines().forEach(e -> e.setOrderDelay("release", 0));
-        await(() -> held().isEmpty());
+        InstanceFixture.await(() -> held().isEmpty());
         long freedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - ended);
         // The last extension before the end of the stream holds the memory for longer.
         assertTrue(freedMs < 1_700, "freed after " + freedMs + " ms, not by a release");
@@ -101,9 +82,9 @@
     @Test
     void freesItsMemoryBeforeItEnds() throws Exception {
         CompletableFuture<HttpResponse<String>> answer = send("/chat/stream", "stopped", LARGE_PROMPT);
-        await(() -> running("stopped"));
+        InstanceFixture.await(() -> running("stopped"));
         site.engines().forEach(e -> e.setOrderDelay("reserve", 4_500));
-        CompletableFuture<Void> stopped = CompletableFuture.runAsync(daemon::close);
+        CompletableFuture<Void> stopped = CompletableFuture.runAsync(instance.daemon()::close);
         assertEquals(200, answer.join().statusCode());
         assertLeakBelow(MIN_LEAK_MS, 9_000);
         stopped.join();
@@ -127,7 +108,7 @@
     void stopsExtendingMemoryOfARequestThatHasEndedBehindASilentConnection() throws Exception {
         site.engines().forEach(e -> e.setBehaviour(Behaviour.LOSE_CONNECTION));
         CompletableFuture<HttpResponse<String>> answer = send("/history/stream", "silent", LARGE_PROMPT);
-        await(() -> running("silent"));
+        InstanceFixture.await(() -> running("silent"));
         assertLeakBelow(0, 9_000);
         answer.cancel(true);
     }
@@ -138,7 +119,7 @@
         site.engines().forEach(e -> e.setMemoryFree(false));
         CompletableFuture<HttpResponse<String>> answer = send("/chat/stream", "again", LARGE_PROMPT);
         // Each attempt asks two engines.
-        await(() -> reserveOrders().size() >= 6);
+        InstanceFixture.await(() -> reserveOrders().size() >= 6);
         List<String> reserves = reserveOrders();
         assertTrue(Set.copyOf(reserves).size() >= 3, "ids of three attempts: " + reserves);
         site.engines().forEach(e -> e.setMemoryFree(true));
@@ -196,20 +177,7 @@
     }
 
     private CompletableFuture<HttpResponse<String>> send(String path, String id, String tokens) {
-        HttpRequest request = StandinSite.request(base.resolve(path), id)
-                .setHeader("X-Jujuberouter-Token-Usage", tokens)
-                .setHeader("X-Jujuberouter-Deadline-Ms", "15000")
-                .timeout(Duration.ofSeconds(15))
-                .POST(HttpRequest.BodyPublishers.ofString("the body"))
-                .build();
-        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString());
-    }
-
-    private static void await(BooleanSupplier condition) throws InterruptedException {
-        long end = System.nanoTime() + Duration.ofSeconds(10).toNanos();
-        while (!condition.getAsBoolean()) {
-            assertTrue(System.nanoTime() < end, "the condition was not met within 10 s");
-            Thread.sleep(20);
-        }
+        return fixture.send(
+                instance.base(), path, id, "X-Jujuberouter-Token-Usage", tokens, "X-Jujuberouter-Deadline-Ms", "15000");
     }
 }
