--- a/src/main/java/org/jujuberouter/dispatch/CrashAttribution.java
+++ b/src/main/java/org/jujuberouter/dispatch/CrashAttribution.java
@@ -133,8 +133,7 @@
 
     /** Convicts the traits to which enough crashes are attributed; returns those that were not convicted before. */
     public List<RequestTrait> convict() {
-        long now = ticker.nanos();
-        convictedUntil.values().removeIf(until -> until - now <= 0);
+        removeExpiredConvictions();
         if (!hasCrashes()) {
             return List.of();
         }
@@ -165,6 +164,11 @@
         return convicted;
     }
 
+    private void removeExpiredConvictions() {
+        long now = ticker.nanos();
+        convictedUntil.values().removeIf(until -> until - now <= 0);
+    }
+
     /** Returns whether there are crashes that count. */
     public boolean hasCrashes() {
         long now = ticker.nanos();
@@ -228,6 +232,7 @@
 
     /** Returns the number of convicted traits. */
     public int convictedCount() {
+        removeExpiredConvictions();
         return convictedUntil.size();
     }
 
--- a/src/main/java/org/jujuberouter/platform/HttpMemoryReservations.java
+++ b/src/main/java/org/jujuberouter/platform/HttpMemoryReservations.java
@@ -19,6 +19,8 @@
     /** State of a ticket, the platform's name for a reservation, whose memory a request uses. */
     private static final String USED = "used";
 
+    private static final int SERVER_ERROR = 500;
+
     /** Short, since the first event of a prompt that needs the memory is due within a few seconds. */
     private static final long TIMEOUT_MS = 400;
 
@@ -55,7 +57,8 @@
         ObjectNode request =
                 Json.MAPPER.createObjectNode().put("Operation", "release").put("Id", id);
         call("POST", ORDER_PATH, endpoint, JsonClient.bytes(request.toString()), reply -> {
-            listener.accept(reply instanceof JsonReply.Response);
+            // An engine that no longer knows the reservation, or is another one, answers with a status below 500.
+            listener.accept(reply instanceof JsonReply.Response r && r.status() < SERVER_ERROR);
         });
     }
 
