--- a/src/main/java/org/jujuberouter/control/ControlEntry.java
+++ b/src/main/java/org/jujuberouter/control/ControlEntry.java
@@ -35,8 +35,8 @@
         }
     }
 
-    /** The conviction of a trait whose requests crash endpoints. */
-    record Conviction(RequestTrait trait) implements ControlEntry {}
+    /** The quarantine of a trait whose requests crash endpoints. */
+    record Quarantine(RequestTrait trait) implements ControlEntry {}
 
     /** A value that cannot be decoded or has an unsupported key. */
     record Unreadable(String reason) implements ControlEntry {}
--- a/src/main/java/org/jujuberouter/control/ControlStore.java
+++ b/src/main/java/org/jujuberouter/control/ControlStore.java
@@ -27,10 +27,10 @@
     void renew(Consumer<Boolean> listener);
 
     /**
-     * Writes a conviction that expires by itself, unless there is one; the listener receives null or the reason for a
+     * Writes a quarantine that expires by itself, unless there is one; the listener receives null or the reason for a
      * failure.
      */
-    void writeConviction(RequestTrait trait, long remainingMs, Consumer<String> listener);
+    void writeQuarantine(RequestTrait trait, long remainingMs, Consumer<String> listener);
 
     /** Writes a crash, with the suspect calls of one instance; the listener receives null or the reason for a failure. */
     void writeCrash(
--- a/src/main/java/org/jujuberouter/dispatch/CrashAttribution.java
+++ b/src/main/java/org/jujuberouter/dispatch/CrashAttribution.java
@@ -19,20 +19,20 @@
 /**
  * Attributes crashes of endpoints to traits of the requests that they had just begun to answer.
  *
- * <p>A trait that crashes endpoints does so each time, so a request that is answered acquits its traits of the crashes
- * before. A crash is attributed to each suspect request as a whole, and to one part of its prompt that is not acquitted:
+ * <p>A trait that crashes endpoints does so each time, so a request that is answered clears its traits of the crashes
+ * before. A crash is attributed to each suspect request as a whole, and to one part of its prompt that is not cleared:
  * the one whose last answer is the longest ago, then the one that is suspected of most crashes, then the most specific one.
- * Three crashes convict a request, and a part if different requests with it were suspected. Requests with a convicted
- * trait are refused until the conviction expires; after that it takes three further crashes to convict it again.
+ * Three crashes quarantine a request, and a part if different requests with it were suspected. Requests with a quarantined
+ * trait are refused until the quarantine expires; after that it takes three further crashes to quarantine it again.
  *
  * <p>Instances exchange crashes and answers. Both may arrive repeatedly and in any order.
  */
 public final class CrashAttribution {
-    /** Number of crashes that convict a trait; fewer could be the coincidence of sound requests with other crashes. */
-    static final int CONVICTING_CRASHES = 3;
+    /** Number of crashes that quarantine a trait; fewer could be the coincidence of sound requests with other crashes. */
+    static final int MIN_CRASHES = 3;
 
-    /** Duration of a conviction, and time for which crashes count; the longest lease of the platform's store. */
-    public static final long CONVICTION_MS = 600_000;
+    /** Duration of a quarantine, and time for which crashes count; the longest lease of the platform's store. */
+    public static final long QUARANTINE_MS = 600_000;
 
     /** Time within which reports of a crash of one endpoint are about the same crash; a restart takes longer. */
     private static final long SAME_CRASH_MS = 3_000;
@@ -42,10 +42,10 @@
 
     private final Ticker ticker;
     private final Deque<Crash> crashes = new ArrayDeque<>();
-    private final Map<RequestTrait, Long> convictedUntil = new HashMap<>();
+    private final Map<RequestTrait, Long> quarantinedUntil = new HashMap<>();
 
     /** The latest crash of which each trait is suspected; answers are checked against it, which are frequent. */
-    private final Map<RequestTrait, Long> accusedAt = new HashMap<>();
+    private final Map<RequestTrait, Long> suspectedAt = new HashMap<>();
 
     private final Map<RequestTrait, Long> answeredAt = new LinkedHashMap<>(64, 0.75f, true) {
         @Override
@@ -85,42 +85,42 @@
                 crashes.removeFirst();
             }
         }
-        indexAccusations();
+        indexSuspicions();
     }
 
-    private void indexAccusations() {
-        accusedAt.clear();
+    private void indexSuspicions() {
+        suspectedAt.clear();
         for (Crash c : crashes) {
-            c.suspects.forEach(s -> s.forEach(t -> accusedAt.merge(t, c.at, Math::max)));
+            c.suspects.forEach(s -> s.forEach(t -> suspectedAt.merge(t, c.at, Math::max)));
         }
     }
 
     /**
      * Records that an endpoint has begun to answer a request without crashing, so long ago. Returns the traits that this
-     * acquits of a crash.
+     * clears of a crash.
      */
     public List<RequestTrait> recordAnswer(List<RequestTrait> traits, long ageMs) {
         long at = ticker.nanos() - nanos(ageMs);
-        List<RequestTrait> acquitted = new ArrayList<>();
+        List<RequestTrait> cleared = new ArrayList<>();
         for (RequestTrait trait : traits) {
             Long last = answeredAt.get(trait);
             if (last != null && last >= at) {
                 continue;
             }
-            Long accused = accusedAt.get(trait);
-            boolean acquits = accused != null && accused < at && (last == null || last <= accused);
-            if (acquits) {
-                acquitted.add(trait);
+            Long suspected = suspectedAt.get(trait);
+            boolean clears = suspected != null && suspected < at && (last == null || last <= suspected);
+            if (clears) {
+                cleared.add(trait);
             }
             // Most requests are sent once, so their answers need not be remembered.
-            if (acquits || !trait.isWholeRequest()) {
+            if (clears || !trait.isWholeRequest()) {
                 answeredAt.put(trait, at);
             }
         }
-        return acquitted;
+        return cleared;
     }
 
-    private static boolean isAccused(RequestTrait trait, Crash crash, Long answered) {
+    private static boolean isSuspected(RequestTrait trait, Crash crash, Long answered) {
         return (answered == null || answered <= crash.at)
                 && crash.suspects.stream().anyMatch(s -> s.contains(trait));
     }
@@ -131,109 +131,109 @@
                 .map(at -> Math.max(0, TimeUnit.NANOSECONDS.toMillis(ticker.nanos() - at)));
     }
 
-    /** Convicts the traits to which enough crashes are attributed; returns those that were not convicted before. */
-    public List<RequestTrait> convict() {
-        removeExpiredConvictions();
+    /** Quarantines the traits to which enough crashes are attributed; returns those that were not quarantined before. */
+    public List<RequestTrait> quarantine() {
+        removeExpired();
         if (!hasCrashes()) {
             return List.of();
         }
-        Map<RequestTrait, Integer> accusations = countAccusations();
+        Map<RequestTrait, Integer> suspicions = countSuspicions();
         Map<RequestTrait, Set<Crash>> attributed = new HashMap<>();
         Map<RequestTrait, Set<RequestTrait>> requests = new HashMap<>();
         for (Crash c : crashes) {
             for (List<RequestTrait> suspect : c.suspects) {
                 RequestTrait request = suspect.getLast();
-                if (isAccused(request, c, answeredAt.get(request))) {
+                if (isSuspected(request, c, answeredAt.get(request))) {
                     attributed.computeIfAbsent(request, _ -> new HashSet<>()).add(c);
-                    mostSuspectPart(suspect, c, accusations).ifPresent(part -> {
+                    mostSuspectPart(suspect, c, suspicions).ifPresent(part -> {
                         attributed.computeIfAbsent(part, _ -> new HashSet<>()).add(c);
                         requests.computeIfAbsent(part, _ -> new HashSet<>()).add(request);
                     });
                 }
             }
         }
-        List<RequestTrait> convicted = new ArrayList<>();
+        List<RequestTrait> quarantined = new ArrayList<>();
         attributed.forEach((trait, evidence) -> {
             boolean differentRequests =
                     !requests.containsKey(trait) || requests.get(trait).size() > 1;
-            if (evidence.size() >= CONVICTING_CRASHES && differentRequests && !convictedUntil.containsKey(trait)) {
-                setConvicted(trait, CONVICTION_MS);
-                convicted.add(trait);
+            if (evidence.size() >= MIN_CRASHES && differentRequests && !quarantinedUntil.containsKey(trait)) {
+                setQuarantined(trait, QUARANTINE_MS);
+                quarantined.add(trait);
             }
         });
-        return convicted;
+        return quarantined;
     }
 
-    private void removeExpiredConvictions() {
+    private void removeExpired() {
         long now = ticker.nanos();
-        convictedUntil.values().removeIf(until -> until - now <= 0);
+        quarantinedUntil.values().removeIf(until -> until - now <= 0);
     }
 
     /** Returns whether there are crashes that count. */
     public boolean hasCrashes() {
         long now = ticker.nanos();
-        if (!crashes.isEmpty() && crashes.removeIf(c -> now - c.at > nanos(CONVICTION_MS))) {
-            indexAccusations();
+        if (!crashes.isEmpty() && crashes.removeIf(c -> now - c.at > nanos(QUARANTINE_MS))) {
+            indexSuspicions();
         }
         return !crashes.isEmpty();
     }
 
-    /** Counts the crashes of which each trait is suspected and not acquitted. */
-    private Map<RequestTrait, Integer> countAccusations() {
-        Map<RequestTrait, Integer> accusations = new HashMap<>();
+    /** Counts the crashes of which each trait is suspected and not cleared. */
+    private Map<RequestTrait, Integer> countSuspicions() {
+        Map<RequestTrait, Integer> suspicions = new HashMap<>();
         for (Crash c : crashes) {
             c.suspects.stream()
                     .flatMap(List::stream)
                     .distinct()
-                    .filter(t -> isAccused(t, c, answeredAt.get(t)))
-                    .forEach(t -> accusations.merge(t, 1, Integer::sum));
+                    .filter(t -> isSuspected(t, c, answeredAt.get(t)))
+                    .forEach(t -> suspicions.merge(t, 1, Integer::sum));
         }
-        return accusations;
+        return suspicions;
     }
 
-    /** Returns the part of a suspect request that a crash is attributed to; empty if all are acquitted. */
+    /** Returns the part of a suspect request that a crash is attributed to; empty if all are cleared. */
     private Optional<RequestTrait> mostSuspectPart(
-            List<RequestTrait> suspect, Crash crash, Map<RequestTrait, Integer> accusations) {
+            List<RequestTrait> suspect, Crash crash, Map<RequestTrait, Integer> suspicions) {
         return suspect.subList(0, suspect.size() - 1).stream()
-                .filter(t -> isAccused(t, crash, answeredAt.get(t)))
+                .filter(t -> isSuspected(t, crash, answeredAt.get(t)))
                 .min(Comparator.comparingLong((RequestTrait t) -> answeredAt.getOrDefault(t, Long.MIN_VALUE))
-                        .thenComparing(t -> -accusations.getOrDefault(t, 0))
+                        .thenComparing(t -> -suspicions.getOrDefault(t, 0))
                         .thenComparing(t -> -suspect.indexOf(t)));
     }
 
-    /** Records a conviction by another instance. */
-    public void setConvicted(RequestTrait trait, long remainingMs) {
-        convictedUntil.put(trait, ticker.nanos() + nanos(Math.min(remainingMs, CONVICTION_MS)));
+    /** Records a quarantine by another instance. */
+    public void setQuarantined(RequestTrait trait, long remainingMs) {
+        quarantinedUntil.put(trait, ticker.nanos() + nanos(Math.min(remainingMs, QUARANTINE_MS)));
     }
 
-    /** Lifts a conviction and forgets the crashes of which the trait is suspected, so that they convict no other trait. */
-    public void lift(RequestTrait trait) {
-        convictedUntil.remove(trait);
+    /** Ends a quarantine and forgets the crashes of which the trait is suspected, so that they quarantine no other trait. */
+    public void end(RequestTrait trait) {
+        quarantinedUntil.remove(trait);
         crashes.removeIf(c -> c.suspects.stream().anyMatch(s -> s.contains(trait)));
-        indexAccusations();
+        indexSuspicions();
     }
 
-    /** Returns a convicted trait among the given ones. */
-    public Optional<RequestTrait> findConvicted(List<RequestTrait> traits) {
-        if (convictedUntil.isEmpty()) {
+    /** Returns a quarantined trait among the given ones. */
+    public Optional<RequestTrait> findQuarantined(List<RequestTrait> traits) {
+        if (quarantinedUntil.isEmpty()) {
             return Optional.empty();
         }
         long now = ticker.nanos();
         return traits.stream()
-                .filter(t -> convictedUntil.containsKey(t) && convictedUntil.get(t) - now > 0)
+                .filter(t -> quarantinedUntil.containsKey(t) && quarantinedUntil.get(t) - now > 0)
                 .findFirst();
     }
 
-    /** Returns the time until the conviction of a trait expires, in milliseconds; 0 if it is not convicted. */
+    /** Returns the time until the quarantine of a trait expires, in milliseconds; 0 if it is not quarantined. */
     public long remainingMs(RequestTrait trait) {
-        Long until = convictedUntil.get(trait);
+        Long until = quarantinedUntil.get(trait);
         return until == null ? 0 : Math.max(0, TimeUnit.NANOSECONDS.toMillis(until - ticker.nanos()));
     }
 
-    /** Returns the number of convicted traits. */
-    public int convictedCount() {
-        removeExpiredConvictions();
-        return convictedUntil.size();
+    /** Returns the number of quarantined traits. */
+    public int quarantinedCount() {
+        removeExpired();
+        return quarantinedUntil.size();
     }
 
     private static long nanos(long millis) {
--- a/src/main/java/org/jujuberouter/gateway/CallTraits.java
+++ b/src/main/java/org/jujuberouter/gateway/CallTraits.java
@@ -44,9 +44,9 @@
         return new CallTraits(parts, service, name, head, body);
     }
 
-    /** Returns a trait of the call that is convicted. */
-    Optional<RequestTrait> convicted(CrashQuarantine crashes) {
-        return crashes.hasConvictions() ? crashes.findConvicted(all()) : Optional.empty();
+    /** Returns a trait of the call that is quarantined. */
+    Optional<RequestTrait> findQuarantined(CrashQuarantine crashes) {
+        return crashes.hasQuarantined() ? crashes.findQuarantined(all()) : Optional.empty();
     }
 
     /** Records that an endpoint answers the call. */
--- a/src/main/java/org/jujuberouter/gateway/CrashQuarantine.java
+++ b/src/main/java/org/jujuberouter/gateway/CrashQuarantine.java
@@ -21,11 +21,11 @@
 import org.jujuberouter.peer.PeerMessage;
 
 /**
- * Collects the evidence on requests that crash endpoints, shares it and refuses convicted requests.
+ * Collects the evidence on requests that crash endpoints, shares it and refuses quarantined requests.
  *
  * <p>An attempt whose connection the endpoint closed before it answered is a suspicion. It becomes evidence if the
  * endpoint refuses connections afterwards, since links and single answers fail as well. Peers are told of a crash at once
- * and say which of the suspect traits they saw answered; after that, traits are convicted. A conviction is sent to the
+ * and say which of the suspect traits they saw answered; after that, traits are quarantined. A quarantine is sent to the
  * peers and written to the store, from which instances of other groups and those that start later learn it.
  */
 final class CrashQuarantine {
@@ -35,12 +35,12 @@
     private static final int PROBE_TIMEOUT_MS = 200;
 
     /** Time for the peers to report answers; several times the delay of a message. */
-    private static final long HEARING_MS = 60;
+    private static final long ANSWER_REPORTS_MS = 60;
 
     private static final long STORE_RETRY_MS = 1_000;
     private static final long MAX_STORE_RETRY_MS = 60_000;
 
-    /** Number of traits from which on the own ones are forgotten; a peer or another crash then reports a conviction. */
+    /** Number of traits from which on the own ones are forgotten; a peer or another crash then reports a quarantine. */
     private static final int MAX_OWN_SUSPECTS = 4_096;
 
     private final Gateway gateway;
@@ -59,7 +59,7 @@
         this.attribution = CrashAttribution.empty(ticker);
         this.store = store;
         this.broadcast = broadcast;
-        gateway.metrics().gauge("traits_convicted", attribution::convictedCount);
+        gateway.metrics().gauge("traits_quarantined", attribution::quarantinedCount);
     }
 
     /** Returns whether endpoints have crashed under requests, so that answers to whole requests matter. */
@@ -68,13 +68,13 @@
     }
 
     /** Returns whether requests with some trait are refused. */
-    boolean hasConvictions() {
-        return attribution.convictedCount() > 0;
+    boolean hasQuarantined() {
+        return attribution.quarantinedCount() > 0;
     }
 
-    /** Returns a convicted trait among the given ones. */
-    Optional<RequestTrait> findConvicted(List<RequestTrait> traits) {
-        return attribution.findConvicted(traits);
+    /** Returns a quarantined trait among the given ones. */
+    Optional<RequestTrait> findQuarantined(List<RequestTrait> traits) {
+        return attribution.findQuarantined(traits);
     }
 
     long remainingMs(RequestTrait trait) {
@@ -127,7 +127,7 @@
         tellOtherGroups(endpoint.id(), listed);
     }
 
-    /** Writes the suspect calls whose parts may be guilty to the store, unless all instances are peers of this one. */
+    /** Writes the suspect calls whose parts may be the cause to the store, unless all instances are peers of this one. */
     private void tellOtherGroups(EndpointId endpoint, List<List<RequestTrait>> suspects) {
         List<List<RequestTrait>> withParts =
                 suspects.stream().filter(s -> s.size() > 1).toList();
@@ -149,27 +149,27 @@
 
     private void recordCrash(EndpointId endpoint, long ageMs, List<List<RequestTrait>> suspects) {
         attribution.recordCrash(endpoint, ageMs, suspects);
-        loop.schedule(this::convict, HEARING_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::quarantineSuspects, ANSWER_REPORTS_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void convict() {
-        for (RequestTrait trait : attribution.convict()) {
-            logConviction(trait, "crashes");
+    private void quarantineSuspects() {
+        for (RequestTrait trait : attribution.quarantine()) {
+            logQuarantined(trait, "crashes");
             if (ownSuspects.contains(trait)) {
                 // The other instances of the group come to the same conclusion; one report of it is enough for the
                 // rest.
-                broadcast.accept(new PeerMessage.TraitConvicted(trait, attribution.remainingMs(trait)));
+                broadcast.accept(new PeerMessage.TraitQuarantined(trait, attribution.remainingMs(trait)));
                 write(trait, STORE_RETRY_MS);
             }
-            gateway.endConvictedCalls();
+            gateway.endQuarantinedCalls();
         }
     }
 
     private void write(RequestTrait trait, long retryMs) {
-        store.writeConviction(trait, attribution.remainingMs(trait), reason -> {
+        store.writeQuarantine(trait, attribution.remainingMs(trait), reason -> {
             if (reason != null) {
                 gateway.log()
-                        .stateChanged("conviction not written", Map.entry("trait", trait), Map.entry("reason", reason));
+                        .stateChanged("quarantine not written", Map.entry("trait", trait), Map.entry("reason", reason));
                 loop.schedule(() -> writeAgain(trait, retryMs), retryMs, TimeUnit.MILLISECONDS);
             }
         });
@@ -181,10 +181,10 @@
         }
     }
 
-    private void logConviction(RequestTrait trait, String source) {
+    private void logQuarantined(RequestTrait trait, String source) {
         gateway.log()
                 .stateChanged(
-                        "trait convicted",
+                        "trait quarantined",
                         Map.entry("trait", trait),
                         Map.entry("source", source),
                         Map.entry("remaining_ms", attribution.remainingMs(trait)));
@@ -197,7 +197,7 @@
         }
     }
 
-    /** Handles evidence or a conviction from a peer. */
+    /** Handles evidence or a quarantine from a peer. */
     void onPeerMessage(PeerMessage.CrashMessage message) {
         switch (message) {
             case PeerMessage.EndpointCrashed m -> {
@@ -213,27 +213,27 @@
                                 .ifPresent(age -> broadcast.accept(new PeerMessage.TraitAnswered(t, age))));
             }
             case PeerMessage.TraitAnswered m -> attribution.recordAnswer(List.of(m.trait()), m.ageMillis());
-            case PeerMessage.TraitConvicted m -> onConvicted(m.trait(), m.remainingMillis(), "peer");
+            case PeerMessage.TraitQuarantined m -> onQuarantined(m.trait(), m.remainingMillis(), "peer");
         }
     }
 
-    /** Handles a conviction in the store. */
+    /** Handles a quarantine in the store. */
     void onStored(RequestTrait trait) {
-        onConvicted(trait, CrashAttribution.CONVICTION_MS, "store");
+        onQuarantined(trait, CrashAttribution.QUARANTINE_MS, "store");
     }
 
-    private void onConvicted(RequestTrait trait, long remainingMs, String source) {
+    private void onQuarantined(RequestTrait trait, long remainingMs, String source) {
         if (attribution.remainingMs(trait) > 0) {
             return;
         }
-        attribution.setConvicted(trait, remainingMs);
-        logConviction(trait, source);
-        gateway.endConvictedCalls();
+        attribution.setQuarantined(trait, remainingMs);
+        logQuarantined(trait, source);
+        gateway.endQuarantinedCalls();
     }
 
-    /** Handles the removal of a conviction from the store, by its lease or by an operator. */
+    /** Handles the removal of a quarantine from the store, by its lease or by an operator. */
     void onRemoved(RequestTrait trait) {
-        attribution.lift(trait);
-        gateway.log().stateChanged("conviction lifted", Map.entry("trait", trait));
+        attribution.end(trait);
+        gateway.log().stateChanged("quarantine ended", Map.entry("trait", trait));
     }
 }
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -116,7 +116,7 @@
                 route.gapObjectiveMs(),
                 Math.min(waitMs, route.callerTimeoutMs()));
         traits = CallTraits.of(call, service.name(), customer, head, body);
-        if (!endIfConvicted()) {
+        if (!endIfQuarantined()) {
             gateway.retries(service.name()).recordRequest();
             gateway.enqueueAndPlace(this, requirements, telemetry.arrivedNanos());
         }
@@ -126,19 +126,19 @@
      * Refuses a call with a trait that crashes endpoints, unless it is being answered; returns whether it has ended. What
      * an endpoint has of it is cancelled before it crashes the endpoint.
      */
-    boolean endIfConvicted() {
+    boolean endIfQuarantined() {
         if (finished || traits == null || attempt != null && attempt.eventBatches > 0) {
             return finished;
         }
-        Optional<RequestTrait> convicted = traits.convicted(gateway.crashes());
-        if (convicted.isPresent()) {
+        Optional<RequestTrait> quarantined = traits.findQuarantined(gateway.crashes());
+        if (quarantined.isPresent()) {
             if (attempt != null && attempt.clientCall != null) {
                 recordReceived();
             }
             endAttempt();
             refuseOrFail(
-                    "requests of this kind crash endpoints: " + convicted.get(),
-                    gateway.crashes().remainingMs(convicted.get()));
+                    "requests of this kind crash endpoints: " + quarantined.get(),
+                    gateway.crashes().remainingMs(quarantined.get()));
         }
         return finished;
     }
@@ -172,7 +172,7 @@
 
     /** Tries to place the call; returns false if it has to stay queued, to be retried when capacity changes. */
     boolean place() {
-        if (finished || attempt != null || endIfConvicted()) {
+        if (finished || attempt != null || endIfQuarantined()) {
             return true;
         }
         if (!gateway.storeFreshness().isCurrent()) {
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -301,8 +301,8 @@
     }
 
     /** Ends the calls that are refused from now on, unless an endpoint has begun to answer them. */
-    void endConvictedCalls() {
-        new ArrayList<>(running).forEach(Exchange::endIfConvicted);
+    void endQuarantinedCalls() {
+        new ArrayList<>(running).forEach(Exchange::endIfQuarantined);
     }
 
     /** Queues a call that has just arrived and tries to place the queued calls in order. */
@@ -379,7 +379,7 @@
                 log.stateChanged("domain taken out", Map.entry("domain", e.domain()));
             }
             case ControlEntry.Peer p -> peerLoad.peerListed(p.instance(), p.address());
-            case ControlEntry.Conviction c -> crashes.onStored(c.trait());
+            case ControlEntry.Quarantine c -> crashes.onStored(c.trait());
             case ControlEntry.EndpointCrash c -> crashes.onStoredCrash(c.endpoint(), c.suspects());
             case ControlEntry.Unreadable u ->
                 log.stateChanged("unreadable entry", Map.entry("key", key), Map.entry("reason", u.reason()));
@@ -416,8 +416,8 @@
             case ControlEntry.EndpointCrash _ -> {
                 // Crashes count longer at the instances than in the store.
             }
-            case ControlEntry.Conviction c -> {
-                // Leases may expire early while the store is away; the conviction then expires at this instance.
+            case ControlEntry.Quarantine c -> {
+                // Leases may expire early while the store is away; the quarantine then expires at this instance.
                 if (observedLive) {
                     crashes.onRemoved(c.trait());
                 }
--- a/src/main/java/org/jujuberouter/peer/FieldWriter.java
+++ b/src/main/java/org/jujuberouter/peer/FieldWriter.java
@@ -38,7 +38,7 @@
 import org.jujuberouter.peer.PeerMessage.SettingsPush;
 import org.jujuberouter.peer.PeerMessage.SuspectCall;
 import org.jujuberouter.peer.PeerMessage.TraitAnswered;
-import org.jujuberouter.peer.PeerMessage.TraitConvicted;
+import org.jujuberouter.peer.PeerMessage.TraitQuarantined;
 import org.jujuberouter.peer.PeerMessage.WorkEnded;
 import org.jujuberouter.peer.PeerMessage.WorkPart;
 import org.jujuberouter.peer.PeerMessage.WorkRead;
@@ -143,8 +143,8 @@
             case EndpointCrashed m -> endpointCrashed(m);
             case TraitAnswered m ->
                 messageHeader(PeerCodec.TRAIT_ANSWERED, 2).text(m.trait()).number(m.ageMillis());
-            case TraitConvicted m ->
-                messageHeader(PeerCodec.TRAIT_CONVICTED, 2).text(m.trait()).number(m.remainingMillis());
+            case TraitQuarantined m ->
+                messageHeader(PeerCodec.TRAIT_QUARANTINED, 2).text(m.trait()).number(m.remainingMillis());
         }
     }
 
--- a/src/main/java/org/jujuberouter/peer/PeerCodec.java
+++ b/src/main/java/org/jujuberouter/peer/PeerCodec.java
@@ -49,7 +49,7 @@
 import org.jujuberouter.peer.PeerMessage.Stage;
 import org.jujuberouter.peer.PeerMessage.SuspectCall;
 import org.jujuberouter.peer.PeerMessage.TraitAnswered;
-import org.jujuberouter.peer.PeerMessage.TraitConvicted;
+import org.jujuberouter.peer.PeerMessage.TraitQuarantined;
 import org.jujuberouter.peer.PeerMessage.WorkEnded;
 import org.jujuberouter.peer.PeerMessage.WorkPart;
 import org.jujuberouter.peer.PeerMessage.WorkRead;
@@ -132,7 +132,7 @@
     static final int ENDPOINT_FAILED = 21;
     static final int ENDPOINT_CRASHED = 22;
     static final int TRAIT_ANSWERED = 23;
-    static final int TRAIT_CONVICTED = 24;
+    static final int TRAIT_QUARANTINED = 24;
 
     static final int AT_ENDPOINT = 0;
     static final int ANY_OF = 1;
@@ -228,13 +228,13 @@
                         fields,
                         2,
                         r -> new TraitAnswered(r.id("trait", RequestTrait::of), r.number("age")));
-            case TRAIT_CONVICTED ->
+            case TRAIT_QUARANTINED ->
                 readFields(
                         in,
-                        "TraitConvicted",
+                        "TraitQuarantined",
                         fields,
                         2,
-                        r -> new TraitConvicted(r.id("trait", RequestTrait::of), r.number("time left")));
+                        r -> new TraitQuarantined(r.id("trait", RequestTrait::of), r.number("time left")));
             default -> throw PeerException.of(Kind.UNKNOWN_TYPE, type);
         };
     }
--- a/src/main/java/org/jujuberouter/peer/PeerMessage.java
+++ b/src/main/java/org/jujuberouter/peer/PeerMessage.java
@@ -433,9 +433,9 @@
         }
     }
 
-    /** Reports that an endpoint has answered a request with the trait, which acquits it of crashes before. */
+    /** Reports that an endpoint has answered a request with the trait, which clears it of crashes before. */
     record TraitAnswered(RequestTrait trait, long ageMillis) implements CrashMessage {}
 
     /** Reports that requests with the trait are refused, since they crash endpoints. */
-    record TraitConvicted(RequestTrait trait, long remainingMillis) implements CrashMessage {}
+    record TraitQuarantined(RequestTrait trait, long remainingMillis) implements CrashMessage {}
 }
--- a/src/main/java/org/jujuberouter/peer/SampleMessages.java
+++ b/src/main/java/org/jujuberouter/peer/SampleMessages.java
@@ -91,7 +91,7 @@
                 new PeerMessage.EndpointCrashed(
                         ENDPOINT, 40, List.of(new PeerMessage.SuspectCall(List.of(TRAIT, TRAIT)))),
                 new PeerMessage.TraitAnswered(TRAIT, 1_200),
-                new PeerMessage.TraitConvicted(TRAIT, 600_000),
+                new PeerMessage.TraitQuarantined(TRAIT, 600_000),
                 new SettingsPull(1_912),
                 new SettingsPush(1_913, new byte[126_000]));
     }
--- a/src/main/java/org/jujuberouter/platform/KvControlStore.java
+++ b/src/main/java/org/jujuberouter/platform/KvControlStore.java
@@ -121,8 +121,8 @@
     }
 
     @Override
-    public void writeConviction(RequestTrait trait, long remainingMs, Consumer<String> listener) {
-        writeOnce(StoreKeys.CONVICTIONS + trait.value(), new byte[0], remainingMs, listener);
+    public void writeQuarantine(RequestTrait trait, long remainingMs, Consumer<String> listener) {
+        writeOnce(StoreKeys.QUARANTINE + trait.value(), new byte[0], remainingMs, listener);
     }
 
     @Override
--- a/src/main/java/org/jujuberouter/platform/KvValueCodec.java
+++ b/src/main/java/org/jujuberouter/platform/KvValueCodec.java
@@ -29,8 +29,8 @@
             if (key.startsWith(StoreKeys.EVACUATIONS)) {
                 return new ControlEntry.Evacuation(FailureDomain.of(key.substring(StoreKeys.EVACUATIONS.length())));
             }
-            if (key.startsWith(StoreKeys.CONVICTIONS)) {
-                return new ControlEntry.Conviction(RequestTrait.of(key.substring(StoreKeys.CONVICTIONS.length())));
+            if (key.startsWith(StoreKeys.QUARANTINE)) {
+                return new ControlEntry.Quarantine(RequestTrait.of(key.substring(StoreKeys.QUARANTINE.length())));
             }
             byte[] value = Base64.getDecoder().decode(base64);
             if (key.equals(StoreKeys.CONFIGURATION)) {
--- a/src/main/java/org/jujuberouter/platform/StoreKeys.java
+++ b/src/main/java/org/jujuberouter/platform/StoreKeys.java
@@ -14,8 +14,8 @@
     /** Prefix of instance registrations; followed by the instance's id. */
     static final String INSTANCES = "instances/";
 
-    /** Prefix of the convictions of traits whose requests crash endpoints; followed by the trait. */
-    static final String CONVICTIONS = "convictions/";
+    /** Prefix of the quarantines of traits whose requests crash endpoints; followed by the trait. */
+    static final String QUARANTINE = "quarantine/";
 
     /** Prefix of crashes of endpoints; followed by the endpoint's id, a slash and the id of the reporting instance. */
     static final String CRASHES = "crashes/";
--- a/src/test/java/org/jujuberouter/dispatch/CrashAttributionTest.java
+++ b/src/test/java/org/jujuberouter/dispatch/CrashAttributionTest.java
@@ -45,74 +45,75 @@
     }
 
     @Test
-    void convictsThePartThatAllCrashesHaveInCommon() {
+    void quarantinesThePartThatAllCrashesHaveInCommon() {
         attribution.recordAnswer(request(SHARED), 0);
         for (int i = 0; i < 3; i++) {
-            assertEquals(List.of(), attribution.convict());
+            assertEquals(List.of(), attribution.quarantine());
             crash("e" + i, request(SHARED, DEADLY));
         }
-        assertEquals(List.of(DEADLY), attribution.convict());
-        assertEquals(DEADLY, attribution.findConvicted(request(SHARED, DEADLY)).orElseThrow());
-        assertTrue(attribution.findConvicted(request(SHARED)).isEmpty());
+        assertEquals(List.of(DEADLY), attribution.quarantine());
+        assertEquals(
+                DEADLY, attribution.findQuarantined(request(SHARED, DEADLY)).orElseThrow());
+        assertTrue(attribution.findQuarantined(request(SHARED)).isEmpty());
     }
 
     /** No instance may have seen an answer to the shared part yet; the sound requests with it must not be refused. */
     @Test
-    void convictsTheMoreSpecificOfTwoPartsThatAlwaysOccurTogether() {
+    void quarantinesTheMoreSpecificOfTwoPartsThatAlwaysOccurTogether() {
         for (int i = 0; i < 3; i++) {
             crash("e" + i, request(SHARED, DEADLY));
         }
-        assertEquals(List.of(DEADLY), attribution.convict());
+        assertEquals(List.of(DEADLY), attribution.quarantine());
     }
 
     @Test
-    void convictsAPartThatWasSoundBefore() {
+    void quarantinesAPartThatWasSoundBefore() {
         attribution.recordAnswer(List.of(DEADLY), 0);
         advance(10_000);
         attribution.recordAnswer(List.of(SHARED), 0);
         for (int i = 0; i < 3; i++) {
             crash("e" + i, request(SHARED, DEADLY));
         }
-        assertEquals(List.of(DEADLY), attribution.convict());
+        assertEquals(List.of(DEADLY), attribution.quarantine());
     }
 
     @Test
-    void convictsTheSharedPartIfItsCompanionsDiffer() {
+    void quarantinesTheSharedPartIfItsCompanionsDiffer() {
         for (int i = 0; i < 3; i++) {
             crash("e" + i, request(SHARED, RequestTrait.part(SERVICE, "b" + i)));
         }
-        assertEquals(List.of(SHARED), attribution.convict());
+        assertEquals(List.of(SHARED), attribution.quarantine());
     }
 
     @Test
-    void convictsARequestThatIsSentAgain() {
+    void quarantinesARequestThatIsSentAgain() {
         List<RequestTrait> repeated = request(SHARED);
         attribution.recordAnswer(List.of(SHARED), 0);
         for (int i = 0; i < 3; i++) {
             crash("e" + i, repeated);
         }
-        assertEquals(List.of(repeated.getLast()), attribution.convict());
+        assertEquals(List.of(repeated.getLast()), attribution.quarantine());
     }
 
     /** The other parts of a request that crashes endpoints by itself are sound. */
     @Test
-    void doesNotConvictAPartThatOnlyOneRepeatedRequestHas() {
+    void doesNotQuarantineAPartThatOnlyOneRepeatedRequestHas() {
         List<RequestTrait> repeated = request(DEADLY);
         for (int i = 0; i < 4; i++) {
             crash("e" + i, repeated);
         }
-        assertEquals(List.of(repeated.getLast()), attribution.convict());
+        assertEquals(List.of(repeated.getLast()), attribution.quarantine());
     }
 
     @Test
-    void acquitsATraitThatIsAnsweredAfterTheCrash() {
+    void clearsATraitThatIsAnsweredAfterTheCrash() {
         for (int i = 0; i < 2; i++) {
             crash("e" + i, request(SHARED));
         }
         advance(1);
         assertEquals(List.of(SHARED), attribution.recordAnswer(List.of(SHARED), 0));
         crash("e2", request(SHARED));
-        assertEquals(List.of(), attribution.convict());
+        assertEquals(List.of(), attribution.quarantine());
     }
 
     /** Several instances report one crash, late and repeatedly. */
@@ -123,34 +124,34 @@
             attribution.recordCrash(EndpointId.of("e"), 20L * i, List.of(suspect));
             advance(20);
         }
-        assertEquals(List.of(), attribution.convict());
+        assertEquals(List.of(), attribution.quarantine());
     }
 
     @Test
-    void takesThreeFurtherCrashesToConvictAgainAfterAConvictionHasExpired() {
+    void takesThreeFurtherCrashesToQuarantineAgainAfterAnExpiry() {
         for (int i = 0; i < 3; i++) {
             crash("e" + i, request(DEADLY));
         }
-        assertEquals(List.of(DEADLY), attribution.convict());
-        advance(CrashAttribution.CONVICTION_MS);
-        assertTrue(attribution.findConvicted(List.of(DEADLY)).isEmpty());
+        assertEquals(List.of(DEADLY), attribution.quarantine());
+        advance(CrashAttribution.QUARANTINE_MS);
+        assertTrue(attribution.findQuarantined(List.of(DEADLY)).isEmpty());
         crash("e3", request(DEADLY));
         crash("e4", request(DEADLY));
-        assertEquals(List.of(), attribution.convict());
+        assertEquals(List.of(), attribution.quarantine());
         crash("e5", request(DEADLY));
-        assertEquals(List.of(DEADLY), attribution.convict());
+        assertEquals(List.of(DEADLY), attribution.quarantine());
     }
 
     @Test
-    void liftsAConvictionWithTheEvidenceForIt() {
+    void endsAQuarantineWithTheEvidenceForIt() {
         for (int i = 0; i < 3; i++) {
             crash("e" + i, request(SHARED, DEADLY));
         }
-        attribution.convict();
+        attribution.quarantine();
         advance(1);
-        attribution.lift(DEADLY);
-        assertEquals(List.of(), attribution.convict(), "nor is another part of those requests");
-        assertTrue(attribution.findConvicted(List.of(DEADLY)).isEmpty());
+        attribution.end(DEADLY);
+        assertEquals(List.of(), attribution.quarantine(), "nor is another part of those requests");
+        assertTrue(attribution.findQuarantined(List.of(DEADLY)).isEmpty());
     }
 
     /**
@@ -158,19 +159,19 @@
      * engines crash for other reasons too.
      */
     @Test
-    void convictsOnlyTheDeadlyPartAmongRandomRequests() {
+    void quarantinesOnlyTheDeadlyPartAmongRandomRequests() {
         for (int seed = 0; seed < 200; seed++) {
             nowNanos = 0;
             CrashAttribution tried = CrashAttribution.empty(() -> nowNanos);
             Random random = new Random(seed);
-            Set<RequestTrait> convicted = new HashSet<>();
+            Set<RequestTrait> quarantined = new HashSet<>();
             int deadlyRuns = 0;
             for (int i = 0; i < 2_000; i++) {
                 advance(25);
                 RequestTrait part = RequestTrait.part(SERVICE, "p" + (int) (60 * Math.pow(random.nextDouble(), 2)));
                 boolean deadly = i > 100 && random.nextDouble() < 0.05;
                 List<RequestTrait> traits = deadly ? request(part, DEADLY) : request(part);
-                if (tried.findConvicted(traits).isPresent()) {
+                if (tried.findQuarantined(traits).isPresent()) {
                     continue;
                 }
                 if (deadly || random.nextDouble() < 0.01) {
@@ -183,10 +184,10 @@
                 } else {
                     tried.recordAnswer(traits, 0);
                 }
-                convicted.addAll(tried.convict());
+                quarantined.addAll(tried.quarantine());
             }
-            assertEquals(Set.of(DEADLY), convicted, "seed " + seed);
-            assertEquals(CrashAttribution.CONVICTING_CRASHES, deadlyRuns, "seed " + seed);
+            assertEquals(Set.of(DEADLY), quarantined, "seed " + seed);
+            assertEquals(CrashAttribution.MIN_CRASHES, deadlyRuns, "seed " + seed);
         }
     }
 }
--- a/src/test/java/org/jujuberouter/gateway/CrashQuarantineTest.java
+++ b/src/test/java/org/jujuberouter/gateway/CrashQuarantineTest.java
@@ -93,13 +93,13 @@
 
     /** An instance that starts later has seen none of the crashes. */
     @Test
-    void knowsOfConvictionsAfterAStart() throws Exception {
+    void knowsOfQuarantinesAfterAStart() throws Exception {
         URI first = startInstance("first");
         site.engines().forEach(e -> e.setDeadlyPart(DEADLY));
         for (int i = 0; i < 4; i++) {
             status(send(first, SHARED + ":40," + DEADLY));
         }
-        InstanceFixture.await(() -> !site.store().keys("convictions/").isEmpty());
+        InstanceFixture.await(() -> !site.store().keys("quarantine/").isEmpty());
         daemons.removeFirst().close();
         int crashesBefore = crashes();
         URI second = startInstance("second");
@@ -109,7 +109,7 @@
         assertEquals(crashesBefore, crashes());
     }
 
-    /** Three crashes convict a part even if no group of instances has seen all of them. */
+    /** Three crashes quarantine a part even if no group of instances has seen all of them. */
     @Test
     void countsCrashesThatInstancesOfOtherGroupsWroteToTheStore() throws Exception {
         URI first = startInstance("first");
@@ -117,7 +117,7 @@
             String call = "[[\"part/assistant/" + DEADLY + "\",\"request/assistant/f" + i + "\"]]";
             site.store().put("crashes/other-engine-" + i + "/other-instance", call);
         }
-        // An answer to such a request before the conviction would acquit the part.
+        // An answer to such a request before the quarantine would clear the part.
         Thread.sleep(CONTACT_MS);
         assertEquals(503, status(send(first, SHARED + ":40," + DEADLY)));
         assertEquals(200, status(send(first, SHARED)));
@@ -125,16 +125,16 @@
 
     /** An operator deletes the key once the cause is repaired. */
     @Test
-    void servesRequestsAgainWhenTheConvictionIsDeleted() throws Exception {
+    void servesRequestsAgainWhenTheQuarantineIsDeleted() throws Exception {
         URI first = startInstance("first");
         site.engines().forEach(e -> e.setDeadlyPart(DEADLY));
         for (int i = 0; i < 4; i++) {
             status(send(first, SHARED + ":40," + DEADLY));
         }
-        InstanceFixture.await(() -> !site.store().keys("convictions/").isEmpty());
+        InstanceFixture.await(() -> !site.store().keys("quarantine/").isEmpty());
         assertEquals(503, status(send(first, SHARED + ":40," + DEADLY)));
         site.engines().forEach(e -> e.setDeadlyPart(""));
-        site.store().keys("convictions/").forEach(site.store()::remove);
+        site.store().keys("quarantine/").forEach(site.store()::remove);
         InstanceFixture.await(() -> status(send(first, SHARED + ":40," + DEADLY)) == 200);
     }
 
--- a/src/test/java/org/jujuberouter/gateway/StoreProofSimulationTest.java
+++ b/src/test/java/org/jujuberouter/gateway/StoreProofSimulationTest.java
@@ -321,8 +321,8 @@
         }
 
         @Override
-        public void writeConviction(RequestTrait trait, long remainingMs, Consumer<String> listener) {
-            throw new UnsupportedOperationException("no conviction is written here");
+        public void writeQuarantine(RequestTrait trait, long remainingMs, Consumer<String> listener) {
+            throw new UnsupportedOperationException("no quarantine is written here");
         }
 
         @Override
