--- a/src/main/java/org/jujuberouter/peer/PeerNetwork.java
+++ b/src/main/java/org/jujuberouter/peer/PeerNetwork.java
@@ -296,8 +296,10 @@
     /** Returns the open connection to the latest incarnation of the peer, or null if there is none. */
     private PeerConnection findOpen(InstanceId instance) {
         PeerConnection connection = newest.get(instance);
-        // A connection that was closed by this instance remains in the map until its channel is closed.
-        return connection == null || connection.isOpen() ? connection : findNewestOpen(instance);
+        // A connection that was closed by this instance remains in the map until its channel is closed, and a new one
+        // is
+        // established a moment before it is in the map.
+        return connection != null && connection.isOpen() ? connection : findNewestOpen(instance);
     }
 
     private PeerConnection findNewestOpen(InstanceId instance) {
--- a/src/test/java/org/jujuberouter/peer/PeerNetworkTest.java
+++ b/src/test/java/org/jujuberouter/peer/PeerNetworkTest.java
@@ -26,6 +26,7 @@
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.Incarnation;
 import org.jujuberouter.id.InstanceId;
+import org.jujuberouter.id.RequestId;
 import org.jujuberouter.misc.Ticker;
 import org.jujuberouter.peer.PeerException.Kind;
 import org.jujuberouter.peer.PeerMessage.EndpointTarget;
@@ -81,6 +82,22 @@
         assertEquals(200, matched.stream().filter(m -> m).count());
     }
 
+    /** A peer that is reported as connected must be reachable at once, also from other threads. */
+    @Test
+    void sendsToAPeerAsSoonAsItIsReportedAsConnected() throws Exception {
+        for (int i = 0; i < 100; i++) {
+            PeerNetwork owner = start("owner", grantingListener());
+            PeerNetwork requester = start("requester", (from, m) -> received.add(m));
+            requester.connectTo(List.of(owner.address()));
+            while (requester.connected().isEmpty()) {
+                Thread.onSpinWait();
+            }
+            requester.send(id("owner"), new PeerMessage.WorkEnded(RequestId.of("r" + i)));
+            requester.close();
+            owner.close();
+        }
+    }
+
     @Test
     void timesOutACallAndPassesTheLateReplyToTheListener() throws Exception {
         BlockingQueue<Runnable> later = new LinkedBlockingQueue<>();
