--- a/review/standin/review/Client.java
+++ b/review/standin/review/Client.java
@@ -27,7 +27,7 @@
 
     static Result send(
             Record record, InetSocketAddress to, String method, String path, String key, byte[] body, long deadlineMs) {
-        return send(record, to, method, path, key, body, deadlineMs, 0, 16_384, n -> {});
+        return send(record, to, method, path, key, "", body, deadlineMs, 0, 16_384, n -> {});
     }
 
     static Result send(
@@ -36,6 +36,7 @@
             String method,
             String path,
             String key,
+            String moreFields,
             byte[] body,
             long deadlineMs,
             int receiveBufferBytes,
@@ -56,6 +57,7 @@
             String head = method + " " + path + " HTTP/1.1\r\nHost: " + Site.HOST + "\r\n" + Engine.ATTEMPT + ": " + id
                     + "\r\nX-Jujuberouter-Deadline-Ms: " + deadlineMs + "\r\n"
                     + (key.isEmpty() ? "" : "Authorization: Bearer " + key + "\r\n")
+                    + moreFields
                     + (method.equals("GET") ? "" : "Content-Length: " + body.length + "\r\n") + "\r\n";
             s.getOutputStream().write(Http.bytes(head));
             s.getOutputStream().write(body);
--- a/review/standin/review/Engine.java
+++ b/review/standin/review/Engine.java
@@ -63,7 +63,7 @@
                     .put("Address", "127.0.0.1:" + server.getLocalPort())
                     .put("Zone", zone)
                     .put("Version", "v1")
-                    .put("Slots", 6)
+                    .put("Slots", slots())
                     .put("State", "ready")
                     .put("ColdRemainingMs", 0)
                     .put("Sequence", ++sequence)
@@ -137,6 +137,10 @@
         respond(s.getOutputStream(), head, Http.bytes("answer of " + id + " to " + head.field(ATTEMPT)));
     }
 
+    int slots() {
+        return 6;
+    }
+
     /** Returns the time that the work of a request takes; the sheet's mean for a posting is 85.7 ms. */
     long workMs() {
         return 86;
