--- a/review/standin/review/Site.java
+++ b/review/standin/review/Site.java
@@ -61,7 +61,7 @@
                 .put("RetryBudgetRatio", 0.2)
                 .put("BudgetWindowS", 10)
                 .put("BudgetSlack", 104);
-        node.putObject("Platform").put("Address", store.address()).put("form", "kv");
+        node.putObject("Platform").put("Address", store.open(name)).put("form", "kv");
         Path file = directory.resolve(name + ".json");
         Files.writeString(file, node.toString());
         Path log = directory.resolve(name + ".log");
