Take only calls that can end while an instance stops

Cause: Exchange admitted every call until GatewayDaemon ended the instance 0.7 s before the kill, whatever was running. The platform still sends requests to a stopping instance when fewer than half of its failure domain are in rotation. Calls that ran at the end, or that arrived while the event loop ended, got no answer at all.

Change: StopSchedule decides which calls a stopping instance takes: until it is out of rotation those that are expected to end in time, later those whose deadline is in time, none once it ends. The others are refused with 503 and a Retry-After of 0. Calls that run at the end are answered 503 or 504. The instance also waits until responses are written.

--- a/src/main/java/org/jujuberouter/dispatch/CallRequirements.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallRequirements.java
@@ -1,5 +1,7 @@
 package org.jujuberouter.dispatch;
 
+import org.jujuberouter.catalog.EngineCostModel;
+import org.jujuberouter.catalog.ServiceSpec;
 import org.jujuberouter.id.RequestId;
 import org.jujuberouter.id.ServiceName;
 
@@ -49,6 +51,20 @@
         return 1 + promptTokens / TOKENS_PER_UNIT_OF_VALUE;
     }
 
+    /**
+     * Returns the time to the end of the answer, in milliseconds: on an engine whose slots and memory are all in use, or
+     * the objective if the service has no cost model.
+     */
+    public double expectedMs(ServiceSpec declaration) {
+        if (declaration.engine().isEmpty()) {
+            return objectiveMs;
+        }
+        EngineCostModel engine = declaration.engine().get();
+        long contextTokens = Math.min(engine.kvCapacityTokens(), engine.slots() * (promptTokens + outputTokens));
+        double iterations = Math.ceil(outputTokens / (double) engine.decodeStepsPerIteration());
+        return engine.prefillMs(promptTokens) + iterations * engine.decodeIterationMs(engine.slots(), contextTokens);
+    }
+
     /** Returns how much more an answer on time is worth than a late one, in units of a short call. */
     public double onTimeGain() {
         return value() * (1 - LATE_VALUE_FRACTION);
--- a/src/main/java/org/jujuberouter/gateway/CallerConnection.java
+++ b/src/main/java/org/jujuberouter/gateway/CallerConnection.java
@@ -216,6 +216,11 @@
         context.close();
     }
 
+    /** Returns whether a request has been read whose response has not been written to its end. */
+    boolean isResponding() {
+        return exchange != null;
+    }
+
     boolean isIdle() {
         return exchange == null && head == null;
     }
@@ -227,7 +232,7 @@
     }
 
     private boolean closesAfterResponse() {
-        return !keepAlive || gateway.isStopping();
+        return !keepAlive || gateway.stopSchedule().isStopping();
     }
 
     private static void setConnection(HttpResponse response, boolean close) {
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -50,6 +50,9 @@
 
     private static final long RETRY_AFTER_MS = 500;
 
+    /** Callers send a retry to another instance, which can take the call at once. */
+    private static final long RETRY_ELSEWHERE_MS = 0;
+
     /** Transit time of a response to the caller, subtracted from the caller's deadline. */
     private static final long RESPONSE_TRANSIT_MS = 5;
 
@@ -179,6 +182,10 @@
             refuseOrFail("the configuration is not known to be current", RETRY_AFTER_MS);
             return true;
         }
+        if (!mayHaveRun && !gateway.stopSchedule().accepts(requirements.expectedMs(service), remainingMs())) {
+            refuseOrFail("the instance is stopping", RETRY_ELSEWHERE_MS);
+            return true;
+        }
         double waitedMs = (gateway.ticker().nanos() - telemetry.arrivedNanos()) / 1e6;
         switch (gateway.scheduler().place(requirements, service, triedEndpoints, waitedMs)) {
             case PlacementDecision.Send send -> send(send);
@@ -505,17 +512,25 @@
     }
 
     private void onDeadline() {
-        if (finished) {
-            return;
+        if (!finished) {
+            end("deadline reached", "the deadline passed", "the deadline passed before an endpoint had room", -1);
         }
-        telemetry.logWarning(
-                "deadline reached", Map.entry("begun", response.hasStarted()), Map.entry("arrivals", attemptsReceived));
+    }
+
+    /** Ends the call because its instance ends. */
+    void onStopTimeout() {
+        end("ended by the stop", "the instance stopped", "the instance is stopping", RETRY_ELSEWHERE_MS);
+    }
+
+    /** Ends the call as failed, or as not run if it was never sent. */
+    private void end(String event, String failureReason, String refusalReason, long retryAfterMs) {
+        telemetry.logWarning(event, Map.entry("begun", response.hasStarted()), Map.entry("arrivals", attemptsReceived));
         boolean sent = attempt != null;
         endAttempt();
         if (sent || mayHaveRun) {
-            failCall(504, "the deadline passed", -1);
+            failCall(504, failureReason, -1);
         } else {
-            failCall(503, "the deadline passed before an endpoint had room", -1);
+            failCall(503, refusalReason, retryAfterMs);
         }
     }
 
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -31,6 +31,7 @@
 import org.jujuberouter.dispatch.CallScheduler;
 import org.jujuberouter.dispatch.EndpointRegistry;
 import org.jujuberouter.dispatch.RetryLimiter;
+import org.jujuberouter.dispatch.StopSchedule;
 import org.jujuberouter.dispatch.StoreFreshness;
 import org.jujuberouter.dispatch.TrackedEndpoint;
 import org.jujuberouter.id.InstanceId;
@@ -61,6 +62,7 @@
     private final Map<ServiceName, RetryLimiter> retries = new HashMap<>();
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Set<Exchange> running = new HashSet<>();
+    private final StopSchedule stopSchedule;
     private final CallQueue<Exchange> waitQueue = CallQueue.empty(ticker);
     private PeerLoadSync peerLoad;
     private CrashQuarantine crashes;
@@ -68,7 +70,6 @@
     private long previousIdleTimeoutMs;
     private int memoryReleases;
     private boolean placementScheduled;
-    private boolean stopping;
     private boolean storeReachable;
 
     Gateway(GatewayOptions options, EventLoop loop, CallCodec codec, MemoryReservations reservations) {
@@ -77,6 +78,7 @@
         this.loop = loop;
         this.codec = codec;
         this.log = GatewayLog.create();
+        this.stopSchedule = StopSchedule.of(ticker, options.bounds().stopMs());
         Ticker wallClock = () -> TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
         this.storeFreshness =
                 StoreFreshness.of(ticker, wallClock, options.bounds().keyRevocationMs());
@@ -145,17 +147,25 @@
         return Math.max(previousIdleTimeoutMs, limits().idleTimeoutMs());
     }
 
-    boolean isStopping() {
-        return stopping;
+    StopSchedule stopSchedule() {
+        return stopSchedule;
     }
 
     /** Returns whether the platform should send new connections to this instance. */
     boolean isReady() {
-        return !stopping && catalog.isPresent() && storeFreshness.isCurrent();
+        return !stopSchedule.isStopping() && catalog.isPresent() && storeFreshness.isCurrent();
     }
 
-    int runningCalls() {
-        return running.size();
+    /** Returns whether no call is running, no response is being written and no engine memory is to be freed. */
+    boolean isDrained() {
+        return running.isEmpty()
+                && memoryReleases == 0
+                && connections.stream().noneMatch(CallerConnection::isResponding);
+    }
+
+    /** Ends all calls: as not run where that is certain, otherwise as failed. */
+    void endCalls() {
+        new ArrayList<>(running).forEach(Exchange::onStopTimeout);
     }
 
     /** Records that memory at an engine is to be freed; the instance has to run until the engine has confirmed it. */
@@ -167,14 +177,9 @@
         memoryReleases--;
     }
 
-    /** Returns the number of releases of engine memory that are not known to be carried out. */
-    int memoryReleases() {
-        return memoryReleases;
-    }
-
-    /** Reports the instance as not ready; requests on open connections are still served. */
+    /** Reports the instance as not ready and takes only calls that can end in time. */
     void stop() {
-        stopping = true;
+        stopSchedule.begin();
         log.stateChanged(
                 "stopping", Map.entry("running", running.size()), Map.entry("connections", connections.size()));
     }
--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -26,6 +26,7 @@
 import java.util.function.Supplier;
 import org.jujuberouter.control.ControlStore;
 import org.jujuberouter.control.StoreWatcher;
+import org.jujuberouter.dispatch.StopSchedule;
 import org.jujuberouter.misc.HeapReceiveBuffers;
 import org.jujuberouter.telemetry.LogRateLimiter;
 
@@ -38,12 +39,6 @@
     private static final long RENEW_INTERVAL_MS = 2_000;
     private static final long REGISTER_RETRY_MS = 500;
 
-    /** Time until the platform has taken a stopping instance out of rotation: two probes 1 s apart, and one more. */
-    private static final long ROTATION_REMOVAL_MS = 2_600;
-
-    /** Time before the platform's kill at which a stopping instance exits even if calls are still running. */
-    private static final long EXIT_MARGIN_MS = 700;
-
     private static final long DRAIN_CHECK_MS = 50;
 
     /** Limit for closing each listener and for the shutdown of the event loop. */
@@ -162,18 +157,17 @@
     }
 
     /**
-     * Stops gracefully: readiness probes fail first while requests on open connections are still served. The instance
-     * ends when the platform has taken it out of rotation, no call is running and all memory that its calls reserved at
-     * engines is freed, or shortly before it would be killed.
+     * Stops gracefully: readiness probes fail first while calls that can end in time are still taken. The instance ends
+     * when the platform has taken it out of rotation, all responses are written and all memory that its calls reserved
+     * at engines is freed, or shortly before it would be killed; calls that are running then are answered as failed.
      */
     @Override
     public void close() {
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         loop.execute(() -> {
             gateway.stop();
-            long stopStartedMs = gateway.ticker().millis();
             loop.scheduleAtFixedRate(
-                    () -> checkDrained(stopStartedMs, stopped), DRAIN_CHECK_MS, DRAIN_CHECK_MS, TimeUnit.MILLISECONDS);
+                    () -> checkDrained(stopped), DRAIN_CHECK_MS, DRAIN_CHECK_MS, TimeUnit.MILLISECONDS);
         });
         try {
             stopped.get(options.bounds().stopMs(), TimeUnit.MILLISECONDS);
@@ -188,22 +182,22 @@
         group.shutdownGracefully(0, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly(2 * CLOSE_TIMEOUT_MS);
     }
 
-    private void checkDrained(long stopStartedMs, CompletableFuture<Void> stopped) {
-        long elapsedMs = gateway.ticker().millis() - stopStartedMs;
-        if (elapsedMs < ROTATION_REMOVAL_MS) {
+    private void checkDrained(CompletableFuture<Void> stopped) {
+        StopSchedule schedule = gateway.stopSchedule();
+        if (!schedule.isOutOfRotation()) {
             return;
         }
         gateway.closeIdleConnections();
-        boolean timedOut = elapsedMs > options.bounds().stopMs() - EXIT_MARGIN_MS;
-        boolean drained = gateway.runningCalls() == 0 && gateway.memoryReleases() == 0 || timedOut;
-        if (drained && !deregistering) {
+        boolean ending = gateway.isDrained() || schedule.isOver();
+        if (ending && !deregistering) {
             // Not before: peers count the work of this instance for as long as it is registered.
             deregistering = true;
+            schedule.close();
+            gateway.endCalls();
             listeners.forEach(Channel::close);
             store.deregister(() -> deregistered = true);
             loop.schedule(() -> deregistered = true, DEREGISTER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-        } else if (drained && deregistered) {
-            // A call may have arrived on an open connection while the registration ended.
+        } else if (ending && deregistered) {
             stopped.complete(null);
         }
     }
--- a/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
+++ b/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
@@ -48,6 +48,8 @@
         FLOOD,
         /** Runs the request and sends a byte now and then, without ever completing an event, after some events. */
         TRICKLE,
+        /** Runs the request and answers it with a large body. */
+        LARGE_BODY,
         /** Runs the request and closes the connection in the middle of a large body. */
         BREAK_LARGE_BODY
     }
@@ -59,7 +61,8 @@
      */
     private record Ticket(long tokens, long expiresAt) {}
 
-    private static final int LARGE_BODY_BYTES = 600 << 10;
+    private static final int LARGE_BODY_BYTES = 240 << 10;
+    private static final int BROKEN_BODY_BYTES = 600 << 10;
     private static final int FLOOD_CHUNK_BYTES = 16 << 10;
     private static final long TRICKLE_INTERVAL_MS = 100;
 
@@ -259,10 +262,18 @@
             } finally {
                 usedTickets.remove(ticket);
             }
-        } else if (behaviour == Behaviour.BREAK_LARGE_BODY) {
-            exchange.sendResponseHeaders(200, LARGE_BODY_BYTES);
-            exchange.getResponseBody().write(new byte[LARGE_BODY_BYTES / 2]);
+        } else {
+            answerPlain(exchange);
+        }
+    }
+
+    private void answerPlain(HttpExchange exchange) throws IOException {
+        if (behaviour == Behaviour.BREAK_LARGE_BODY) {
+            exchange.sendResponseHeaders(200, BROKEN_BODY_BYTES);
+            exchange.getResponseBody().write(new byte[BROKEN_BODY_BYTES / 2]);
             throw new IOException("body truncated as configured");
+        } else if (behaviour == Behaviour.LARGE_BODY) {
+            reply(exchange, 200, "x".repeat(LARGE_BODY_BYTES));
         } else if (behaviour == Behaviour.BREAK) {
             // Closing the exchange without a response closes the connection.
             exchange.close();
--- a/src/main/java/org/jujuberouter/platform/standin/StandinSite.java
+++ b/src/main/java/org/jujuberouter/platform/standin/StandinSite.java
@@ -88,6 +88,10 @@
                 .put("TargetLatencyMs", 5_000)
                 .put("TimeoutMs", 20_000);
         route(routes, "/post/", "non_idempotent", LEDGERS).put("MaxAttempts", 1);
+        // A call may last longer than an instance has for its stop.
+        route(routes, "/archive/", "non_idempotent", LEDGERS)
+                .put("MaxAttempts", 1)
+                .put("TimeoutMs", 20_000);
         route(routes, "/read/", "idempotent", LEDGERS);
         ArrayNode services = config.putArray("Services");
         services.addObject()
