Do not complete a response that is reset while its request is sent

Cause: the write of the request failed first. Netty then closed the channel without an exception, the decoder took that for the end of a response without a length, and ClientCall did not look at the outcome of the write.

Change: ClientCall records the failed write and keeps reading what the server had sent, so an early answer with a length is not lost either. The end of the input is an event of its own (half closure), so it is told from a connection that a failed write has ended.

ResponseEndTest: one of 15 tests failed before ("expected: <RESET> but was: <complete half>"); the cases of heads that are cut short passed at once.

--- a/src/main/java/org/jujuberouter/http/ClientCall.java
+++ b/src/main/java/org/jujuberouter/http/ClientCall.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -20,7 +21,8 @@
  *
  * <p>The connection is not reused, so no bytes of another response can be mistaken for this one, and a failure to
  * connect proves that nothing was sent. A response without a length is complete only if the connection was closed
- * without an error.
+ * without an error. The failure of a write can be the only sign of a reset, so it is recorded, and reading goes on to
+ * what the server had sent before; the end of the input is told from that of the connection for the same reason.
  */
 public final class ClientCall {
     private static final int MAX_LINE_BYTES = 8_192;
@@ -37,6 +39,8 @@
     private Channel channel;
     private boolean finished;
     private boolean connected;
+    private boolean requestFailed;
+    private boolean inputEnded;
 
     private ClientCall(ResponseListener listener) {
         this.listener = listener;
@@ -50,18 +54,20 @@
             FullHttpRequest request,
             ResponseListener listener) {
         ClientCall call = new ClientCall(listener);
-        ChannelFuture connecting = ChannelConnector.connect(
-                loop,
-                address,
-                connectTimeoutMs,
-                ch -> ch.pipeline()
-                        .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                        .addLast(call.new Handler()));
+        ChannelFuture connecting = ChannelConnector.connect(loop, address, connectTimeoutMs, call::initialize);
         call.channel = connecting.channel();
         connecting.addListener(f -> call.onConnect(f.isSuccess(), f.cause(), request));
         return call;
     }
 
+    private void initialize(Channel ch) {
+        ch.config().setAutoClose(false).setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+        ch.pipeline()
+                .addLast(new InputEndRecorder())
+                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                .addLast(new Handler());
+    }
+
     /** Stops or resumes reading, to apply back-pressure to the server while the consumer of the response is slow. */
     public void setReading(boolean reading) {
         channel.config().setAutoRead(reading);
@@ -84,7 +90,7 @@
             fail(CallFailure.Kind.CONNECT, String.valueOf(cause.getMessage()));
         } else {
             connected = true;
-            channel.writeAndFlush(request);
+            channel.writeAndFlush(request).addListener(f -> requestFailed = !f.isSuccess());
         }
     }
 
@@ -104,6 +110,15 @@
         }
     }
 
+    /** Notes the end of the input before the codec takes it for the end of a response without a length. */
+    private final class InputEndRecorder extends ChannelInboundHandlerAdapter {
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            inputEnded |= event == ChannelInputShutdownEvent.INSTANCE;
+            ctx.fireUserEventTriggered(event);
+        }
+    }
+
     private final class Handler extends ChannelInboundHandlerAdapter {
         private boolean accepted;
         private int skippedHeads;
@@ -145,13 +160,28 @@
                     listener.onBody(content.content());
                 }
                 if (!finished && part instanceof LastHttpContent) {
-                    finished = true;
-                    reset();
-                    listener.onEnd();
+                    end();
                 }
             }
         }
 
+        private void end() {
+            if (inputEnded && requestFailed) {
+                fail(CallFailure.Kind.RESET, "the connection was reset before the request was sent");
+                return;
+            }
+            finished = true;
+            reset();
+            listener.onEnd();
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event == ChannelInputShutdownEvent.INSTANCE) {
+                failClosed();
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             fail(CallFailure.Kind.RESET, String.valueOf(cause.getMessage()));
@@ -159,6 +189,10 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            failClosed();
+        }
+
+        private void failClosed() {
             fail(CallFailure.Kind.CLOSED, "the connection was closed before the answer was whole");
         }
     }
