End the grace of missing endpoints with the return of the store

Cause, in two parts. An entry that is missing after the store has not answered may have expired meanwhile and come back, so its endpoint stays in use for 1.9 s; that time began with each removal instead of with the return of the store. And the return was noticed late: the first watch after the outage waited for a change, so the removal itself answered it and passed for the moment of the return.

Change: StoreWatcher tells its listener the time left of the grace, counted from the return.

--- a/src/main/java/org/jujuberouter/control/StoreListener.java
+++ b/src/main/java/org/jujuberouter/control/StoreListener.java
@@ -9,9 +9,10 @@
      * Called when a key was removed.
      *
      * @param lastEntry the last value of the key
-     * @param observedLive whether the removal was observed while the store was reachable; otherwise its time is unknown
+     * @param graceMs time within which the key may be written again, because its lease may have expired only since the
+     *     store could not be reached, in milliseconds; 0 if it was removed
      */
-    void onRemoved(String key, ControlEntry lastEntry, boolean observedLive);
+    void onRemoved(String key, ControlEntry lastEntry, long graceMs);
 
     /** Called when the state was confirmed as of the time at which the request was sent. */
     void onConfirmed(long sentNanos);
--- a/src/main/java/org/jujuberouter/control/StoreWatcher.java
+++ b/src/main/java/org/jujuberouter/control/StoreWatcher.java
@@ -32,6 +32,12 @@
     /** Timeout of a watch of an instance that proves the views of others, which add the interval of their queries. */
     private static final long PROVING_WATCH_TIMEOUT_MS = 600;
 
+    /**
+     * Timeout of a watch that tries whether the store answers again. A longer one would be answered only at the next
+     * change, and the time of that would pass for the return of the store.
+     */
+    private static final long RECONNECT_WATCH_TIMEOUT_MS = 1;
+
     /** Timeout of a watch while peers prove the view; the store allows 30 s. */
     private static final long PROVED_WATCH_TIMEOUT_MS = 10_000;
 
@@ -58,7 +64,7 @@
     private static final long MAX_RETRY_MS = 400;
 
     /** Time within which live endpoints register again after an outage of the store, as specified by the platform. */
-    public static final long RECONNECT_GRACE_MS = 1_900;
+    private static final long RECONNECT_GRACE_MS = 1_900;
 
     private final ControlStore store;
     private final EventLoop loop;
@@ -145,6 +151,9 @@
     }
 
     private long watchTimeoutMs() {
+        if (!connected) {
+            return RECONNECT_WATCH_TIMEOUT_MS;
+        }
         if (provesForOthers) {
             return PROVING_WATCH_TIMEOUT_MS;
         }
@@ -252,7 +261,7 @@
             case ControlEvent.Written written -> {
                 if (last != null && last.entry().getClass() != written.entry().getClass()) {
                     // A value that names an endpoint was overwritten by one that names none, or the reverse.
-                    listener.onRemoved(written.key(), last.entry(), true);
+                    listener.onRemoved(written.key(), last.entry(), 0);
                 }
                 entries.put(written.key(), written);
                 listener.onWritten(written.key(), written.entry());
@@ -264,9 +273,13 @@
     private void remove(String key) {
         ControlEvent.Written last = entries.remove(key);
         if (last != null) {
-            boolean justReconnected = wasDisconnected
-                    && ticker.nanos() - reconnectedAt < TimeUnit.MILLISECONDS.toNanos(RECONNECT_GRACE_MS);
-            listener.onRemoved(key, last.entry(), !justReconnected);
+            listener.onRemoved(key, last.entry(), graceMs());
         }
     }
+
+    /** Returns the time left in which entries that expired during an outage of the store may be written again. */
+    private long graceMs() {
+        long sinceReconnectMs = TimeUnit.NANOSECONDS.toMillis(ticker.nanos() - reconnectedAt);
+        return wasDisconnected ? Math.max(0, RECONNECT_GRACE_MS - sinceReconnectMs) : 0;
+    }
 }
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -403,27 +403,28 @@
     }
 
     @Override
-    public void onRemoved(String key, ControlEntry entry, boolean observedLive) {
+    public void onRemoved(String key, ControlEntry entry, long graceMs) {
         switch (entry) {
             case ControlEntry.EndpointRegistration r -> {
-                registry.deregister(r.endpoint().id(), observedLive ? 0 : StoreWatcher.RECONNECT_GRACE_MS);
+                registry.deregister(r.endpoint().id(), graceMs);
                 log.stateChanged(
                         "endpoint gone",
                         Map.entry("endpoint", r.endpoint().id()),
-                        Map.entry("seen_live", observedLive));
+                        Map.entry("seen_live", graceMs == 0),
+                        Map.entry("grace_ms", graceMs));
             }
             case ControlEntry.Evacuation e -> {
                 registry.setEvacuated(e.domain(), false);
                 log.stateChanged("domain taken back", Map.entry("domain", e.domain()));
                 capacityChanged();
             }
-            case ControlEntry.Peer p -> peerLoad.peerUnlisted(p.instance(), observedLive);
+            case ControlEntry.Peer p -> peerLoad.peerUnlisted(p.instance(), graceMs == 0);
             case ControlEntry.EndpointCrash _ -> {
                 // Crashes count longer at the instances than in the store.
             }
             case ControlEntry.Quarantine c -> {
                 // Leases may expire early while the store is away; the quarantine then expires at this instance.
-                if (observedLive) {
+                if (graceMs == 0) {
                     crashes.onRemoved(c.trait());
                 }
             }
--- a/src/test/java/org/jujuberouter/control/StoreWatcherTest.java
+++ b/src/test/java/org/jujuberouter/control/StoreWatcherTest.java
@@ -34,6 +34,7 @@
     private final ManualTicker ticker = ManualTicker.atZero();
     private final ScriptedStore store = new ScriptedStore();
     private final List<String> notifications = new ArrayList<>();
+    private final List<Long> graces = new ArrayList<>();
     private LongConsumer confirmationListener = _ -> {};
 
     private final StoreListener listener = new StoreListener() {
@@ -43,8 +44,9 @@
         }
 
         @Override
-        public void onRemoved(String key, ControlEntry entry, boolean observedLive) {
-            notifications.add("removed " + key + (observedLive ? "" : " during outage"));
+        public void onRemoved(String key, ControlEntry entry, long graceMs) {
+            notifications.add("removed " + key + (graceMs == 0 ? "" : " during outage"));
+            graces.add(graceMs);
         }
 
         @Override
@@ -241,6 +243,34 @@
                 notifications);
     }
 
+    /** A grace that began with each removal kept endpoints in use that had left after the return of the store. */
+    @Test
+    void endsTheGraceOfARemovalAFixedTimeAfterTheStoreHasReturned() throws Exception {
+        StoreWatcher.of(store, loop, ticker, listener).start();
+        answer(true, success(10, written("a", 1), written("b", 2), written("c", 3)));
+        answer(false, new ControlReply.Failed("status 503"));
+        answer(false, success(20, new ControlEvent.Removed("a", 15)));
+        awaitRequest(false);
+        ticker.advance(Duration.ofMillis(1_200));
+        answer(false, success(30, new ControlEvent.Removed("b", 25)));
+        awaitRequest(false);
+        ticker.advance(Duration.ofMillis(700));
+        answer(false, success(40, new ControlEvent.Removed("c", 35)));
+        assertEquals(List.of(1_900L, 700L, 0L), graces);
+    }
+
+    /** A watch that waits is answered by the first change after the outage, whose time then passed for its end. */
+    @Test
+    void asksForAnAnswerAtOnceWhenTheStoreDidNotAnswer() throws Exception {
+        StoreWatcher.of(store, loop, ticker, listener).start();
+        answer(true, success(10));
+        answer(false, new ControlReply.Failed("status 503"));
+        answer(false, new ControlReply.Failed("status 503"));
+        answer(false, success(10));
+        awaitRequest(false);
+        assertEquals(List.of(1_200L, 1L, 1L, 1_200L), store.timeouts);
+    }
+
     private StoreWatcher startWithView(long revision) throws Exception {
         StoreWatcher watcher = StoreWatcher.of(store, loop, ticker, listener);
         watcher.start();
--- a/src/test/java/org/jujuberouter/gateway/StoreProofSimulationTest.java
+++ b/src/test/java/org/jujuberouter/gateway/StoreProofSimulationTest.java
@@ -294,7 +294,7 @@
         }
 
         @Override
-        public void onRemoved(String key, ControlEntry entry, boolean observedLive) {}
+        public void onRemoved(String key, ControlEntry entry, long graceMs) {}
 
         @Override
         public void onConfirmed(long sentNanos) {
