Require an API key whenever the configuration declares customers

Cause: whether calls need a key was derived from the number of keys. The decoder kept only a map from keys to customers, so customers without keys left no trace.

Change: ApiKeys holds whether keys are required beside the keys; the decoder takes that from the presence of the customers. An empty text among the keys is dropped, since it would match a call without a key.

GatewayTest.acceptsNoCallOnceTheLastKeyIsRevoked failed before: no 401 within 10 s.

--- a/src/main/java/org/jujuberouter/catalog/Catalog.java
+++ b/src/main/java/org/jujuberouter/catalog/Catalog.java
@@ -18,23 +18,23 @@
     private final long version;
     private final Map<String, List<Route>> routes = new HashMap<>();
     private final Map<ServiceName, ServiceSpec> services = new HashMap<>();
-    private final Map<String, Customer> customers;
+    private final ApiKeys apiKeys;
     private final CallerLimits limits;
 
-    private Catalog(long version, Map<String, Customer> customers, CallerLimits limits) {
+    private Catalog(long version, ApiKeys apiKeys, CallerLimits limits) {
         this.version = version;
-        this.customers = Map.copyOf(customers);
+        this.apiKeys = apiKeys;
         this.limits = limits;
     }
 
-    /** Returns a catalog with the given content; the customers are keyed by API key. */
+    /** Returns a catalog with the given content. */
     public static Catalog of(
             long version,
             Collection<Route> routes,
             Collection<ServiceSpec> services,
-            Map<String, Customer> customers,
+            ApiKeys apiKeys,
             CallerLimits limits) {
-        Catalog catalog = new Catalog(version, customers, limits);
+        Catalog catalog = new Catalog(version, apiKeys, limits);
         for (Route route : routes) {
             catalog.routes.computeIfAbsent(route.host(), _ -> new ArrayList<>()).add(route);
         }
@@ -65,14 +65,8 @@
         return Optional.empty();
     }
 
-    /** Returns the customer to which the API key belongs. */
-    public Optional<Customer> customer(String apiKey) {
-        return Optional.ofNullable(customers.get(apiKey));
-    }
-
-    /** Returns whether calls need an API key, unless their route is public. */
-    public boolean requiresApiKeys() {
-        return !customers.isEmpty();
+    public ApiKeys apiKeys() {
+        return apiKeys;
     }
 
     /** Returns the declaration of the service. */
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -154,8 +154,8 @@
             return false;
         }
         route = found.get();
-        if (catalog.requiresApiKeys() && !route.publicAccess()) {
-            customer = catalog.customer(call.apiKey());
+        if (catalog.apiKeys().isRequired() && !route.publicAccess()) {
+            customer = catalog.apiKeys().customer(call.apiKey());
             if (customer.isEmpty()) {
                 respondWithError(401, "the API key is unknown", -1);
                 return false;
--- a/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import org.jujuberouter.catalog.ApiKeys;
 import org.jujuberouter.catalog.CallerLimits;
 import org.jujuberouter.catalog.Catalog;
 import org.jujuberouter.catalog.Customer;
@@ -31,7 +32,7 @@
         config.path("Routes").forEach(r -> routes.add(route(r)));
         List<ServiceSpec> services = new ArrayList<>();
         config.path("Services").forEach(s -> services.add(service(s)));
-        return Catalog.of(config.path("Version").asLong(), routes, services, customers(config), limits(config));
+        return Catalog.of(config.path("Version").asLong(), routes, services, apiKeys(config), limits(config));
     }
 
     private static Route route(JsonNode r) {
@@ -108,7 +109,11 @@
                 e.path("chunk").asLong(2_048));
     }
 
-    private static Map<String, Customer> customers(JsonNode config) {
+    /** The field "Tenants" alone makes keys necessary, also if it holds no customer or no key. */
+    private static ApiKeys apiKeys(JsonNode config) {
+        if (!config.hasNonNull("Tenants")) {
+            return ApiKeys.notRequired();
+        }
         Map<String, Customer> byKey = new HashMap<>();
         for (JsonNode t : config.path("Tenants")) {
             OptionalInt priority =
@@ -116,7 +121,9 @@
             Customer customer = new Customer(CustomerId.of(KvValueCodec.text(t, "Name")), priority);
             t.path("ApiKeys").forEach(k -> byKey.put(k.asText(), customer));
         }
-        return byKey;
+        // A call without a key must not match an entry without text.
+        byKey.remove("");
+        return ApiKeys.required(byKey);
     }
 
     private static CallerLimits limits(JsonNode config) {
--- a/src/main/java/org/jujuberouter/platform/standin/StandinSite.java
+++ b/src/main/java/org/jujuberouter/platform/standin/StandinSite.java
@@ -74,6 +74,15 @@
 
     /** Writes a new version of the configuration, with the customer's key or another one in its place. */
     public void configure(boolean withKey) {
+        configure(List.of("another-key"), List.of(withKey ? KEY : "its-second-key"));
+    }
+
+    /** Writes a new version of the configuration in which no customer has a key. */
+    public void revokeAllKeys() {
+        configure(List.of(), List.of());
+    }
+
+    private void configure(List<String> otherKeys, List<String> firstKeys) {
         ObjectNode config = Json.MAPPER.createObjectNode().put("Version", ++version);
         ArrayNode routes = config.putArray("Routes");
         route(routes, "/chat/", "streaming", ENGINES).put("StreamResume", true).put("TargetGapMs", 250);
@@ -115,8 +124,8 @@
                 .put("HeaderTimeoutMs", 1_000)
                 .put("IdleTimeoutMs", 5_000);
         ArrayNode customers = config.putArray("Tenants");
-        customers.addObject().put("Name", "other").putArray("ApiKeys").add("another-key");
-        customers.addObject().put("Name", "first").putArray("ApiKeys").add(withKey ? KEY : "its-second-key");
+        otherKeys.forEach(customers.addObject().put("Name", "other").putArray("ApiKeys")::add);
+        firstKeys.forEach(customers.addObject().put("Name", "first").putArray("ApiKeys")::add);
         store.put("op/config", config.toString());
     }
 
--- a/src/test/java/org/jujuberouter/gateway/GatewayTest.java
+++ b/src/test/java/org/jujuberouter/gateway/GatewayTest.java
@@ -230,6 +230,23 @@
         await(() -> send("/read/x").statusCode() == 401);
     }
 
+    /** Once no customer had a key, every call was accepted, with revoked and with unknown keys. */
+    @Test
+    void acceptsNoCallOnceTheLastKeyIsRevoked() throws Exception {
+        site.revokeAllKeys();
+        await(() -> send("/read/x").statusCode() == 401);
+        for (String key : List.of(StandinSite.KEY, "another-key", "never-a-key")) {
+            HttpRequest request = StandinSite.request(base.resolve("/post/x"), "with-" + key)
+                    .setHeader("Authorization", "Bearer " + key)
+                    .POST(HttpRequest.BodyPublishers.ofString("x"))
+                    .build();
+            assertEquals(
+                    401,
+                    client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode());
+            assertEquals(0, runs("with-" + key));
+        }
+    }
+
     @Test
     void acceptsNoKeyWhenTheStoreHasBeenSilentForTheRevocationBound() throws Exception {
         site.store().setMode(KvStandin.Mode.SILENT);
--- a/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
+++ b/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
@@ -1,13 +1,16 @@
 package org.jujuberouter.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
+import org.jujuberouter.catalog.ApiKeys;
 import org.jujuberouter.catalog.Catalog;
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.catalog.RetryPolicy;
@@ -117,11 +120,32 @@
         assertEquals("b", catalog.route("h.example", "/a/b/x").orElseThrow().name());
         assertTrue(catalog.route("h.example", "/a").isEmpty());
         assertTrue(catalog.route("other.example", "/a/x").isEmpty());
-        assertEquals("c", catalog.customer("k2").orElseThrow().id().value());
-        assertTrue(catalog.customer("k3").isEmpty());
+        assertEquals("c", catalog.apiKeys().customer("k2").orElseThrow().id().value());
+        assertTrue(catalog.apiKeys().customer("k3").isEmpty());
         assertEquals(1_000, catalog.limits().maxHeaderBytes());
     }
 
+    /** Once the last key was revoked, every call was accepted, with revoked and with unknown keys. */
+    @Test
+    void requiresApiKeysWheneverTheConfigurationDeclaresCustomers() {
+        for (String customers :
+                List.of("[]", "[{\"Name\":\"c\",\"ApiKeys\":[]}]", "[{\"Name\":\"c\",\"ApiKeys\":[\"\"]}]")) {
+            ApiKeys keys = apiKeys(",\"Tenants\":" + customers);
+            assertTrue(keys.isRequired(), customers);
+            assertTrue(keys.customer("").isEmpty(), customers);
+            assertTrue(keys.customer("k1").isEmpty(), customers);
+        }
+        assertFalse(apiKeys("").isRequired());
+        assertFalse(apiKeys(",\"Tenants\":null").isRequired());
+    }
+
+    private static ApiKeys apiKeys(String field) {
+        String config = "{\"Version\":1,\"Routes\":[],\"Services\":[]" + field + "}";
+        return assertInstanceOf(ControlEntry.Configuration.class, decode("op/config", config))
+                .catalog()
+                .apiKeys();
+    }
+
     @Test
     void reportsAConfigurationWithAnUnknownRouteTypeAsUnreadable() {
         String config =
