Keep retries within the common budget while instances restart

Cause, found by a reproduction with processes: each instance takes an even part of the fixed slack. One that restarted took its part once more within the same window, and the part grew at once when others stopped, although those had used theirs.

Change: the part follows the largest number of instances within the window (RecentMaximum). In the first window after its start an instance uses the ratio of its own requests only: it knows neither what it used before nor how many shared the slack.

--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -37,6 +37,7 @@
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.RequestId;
 import org.jujuberouter.id.ServiceName;
+import org.jujuberouter.misc.RecentMaximum;
 import org.jujuberouter.misc.Ticker;
 import org.jujuberouter.peer.PeerMessage;
 
@@ -59,6 +60,8 @@
     private final StoreFreshness viewFreshness;
     private final EndpointRegistry registry = EndpointRegistry.empty(ticker);
     private final CallScheduler scheduler = CallScheduler.on(registry, ticker);
+    private final long startedAt = ticker.nanos();
+    private final RecentMaximum instanceCount;
     private final Map<ServiceName, RetryLimiter> retries = new HashMap<>();
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Set<Exchange> running = new HashSet<>();
@@ -78,6 +81,7 @@
         this.loop = loop;
         this.codec = codec;
         this.log = GatewayLog.create();
+        this.instanceCount = RecentMaximum.of(ticker, options.bounds().retryWindowMs(), 1);
         this.stopSchedule = StopSchedule.of(ticker, options.bounds().stopMs());
         Ticker wallClock = () -> TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
         this.storeFreshness =
@@ -218,11 +222,17 @@
                         ticker,
                         options.bounds().retryWindowMs(),
                         options.bounds().retryRatio(),
-                        options.bounds().retrySlack()));
+                        options.bounds().retrySlack(),
+                        startedAt));
+    }
+
+    /** Records the number of instances, including this one. */
+    void setInstanceCount(int count) {
+        instanceCount.set(count);
     }
 
     boolean tryRetry(ServiceName service) {
-        boolean allowed = retries(service).tryAcquire(peerLoad.peerCount() + 1);
+        boolean allowed = retries(service).tryAcquire(instanceCount.get());
         metrics.retry(service.value(), allowed);
         return allowed;
     }
--- a/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
+++ b/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
@@ -103,7 +103,7 @@
         connectedUnlisted.remove(instance);
         if (!instance.equals(self)) {
             addresses.put(instance, address);
-            scheduleRegroup();
+            membersChanged();
         }
     }
 
@@ -124,10 +124,11 @@
         if (addresses.remove(instance) != null && observedLive) {
             removeWorkOf(instance);
         }
-        scheduleRegroup();
+        membersChanged();
     }
 
-    private void scheduleRegroup() {
+    private void membersChanged() {
+        gateway.setInstanceCount(addresses.size() + 1);
         if (!regroupScheduled) {
             regroupScheduled = true;
             loop.schedule(this::regroup, REGROUP_DELAY_MS_PER_INSTANCE * addresses.size(), TimeUnit.MILLISECONDS);
--- a/src/test/java/org/jujuberouter/dispatch/RetryLimiterTest.java
+++ b/src/test/java/org/jujuberouter/dispatch/RetryLimiterTest.java
@@ -8,6 +8,8 @@
 
 /** Guards against retries of all instances that exceed their common budget. */
 class RetryLimiterTest {
+    private static final long LONG_AGO = -Duration.ofMinutes(1).toNanos();
+
     private final ManualTicker ticker = ManualTicker.atZero();
 
     private static int acquireAll(RetryLimiter limiter, int instances) {
@@ -22,7 +24,7 @@
     void retriesOfAllInstancesStayWithinTheBudget() {
         int total = 0;
         for (int i = 0; i < 8; i++) {
-            RetryLimiter limiter = RetryLimiter.of(ticker, 10_000, 0.2, 104);
+            RetryLimiter limiter = RetryLimiter.of(ticker, 10_000, 0.2, 104, LONG_AGO);
             for (int r = 0; r < 50; r++) {
                 limiter.recordRequest();
             }
@@ -34,7 +36,7 @@
 
     @Test
     void permitsRetriesAgainAfterTheWindow() {
-        RetryLimiter limiter = RetryLimiter.of(ticker, 10_000, 0.2, 10);
+        RetryLimiter limiter = RetryLimiter.of(ticker, 10_000, 0.2, 10, LONG_AGO);
         int first = acquireAll(limiter, 1);
         assertEquals(0, acquireAll(limiter, 1));
         ticker.advance(Duration.ofMillis(10_001));
