Limit what is kept of an engine's answer to an order

Another operator reported machines that ran out of memory because an engine answered without end. Calls of callers were bounded here, but up to 8 MB of each answer to a memory order or query were kept, and a long prompt orders from up to 17 engines at once, on a heap of 160 MB.

Cause: one limit, sized for reads of the store, for all JSON clients.

Change: each client states its limit; 256 KiB for engines, which holds a report with all reservations that an engine allows.

--- a/src/main/java/org/jujuberouter/http/JsonClient.java
+++ b/src/main/java/org/jujuberouter/http/JsonClient.java
@@ -40,18 +40,19 @@
  */
 public final class JsonClient {
     private static final int CONNECT_TIMEOUT_MS = 1_000;
-    private static final int MAX_RESPONSE_BYTES = 8 << 20;
 
     private final EventLoop loop;
     private final InetSocketAddress address;
+    private final int maxResponseBytes;
     private final Deque<Pending> queue = new ArrayDeque<>();
     private Channel channel;
     private Pending current;
     private ScheduledFuture<?> timer;
 
-    private JsonClient(EventLoop loop, InetSocketAddress address) {
+    private JsonClient(EventLoop loop, InetSocketAddress address, int maxResponseBytes) {
         this.loop = loop;
         this.address = address;
+        this.maxResponseBytes = maxResponseBytes;
     }
 
     private record Pending(
@@ -62,9 +63,13 @@
             long timeoutMs,
             Consumer<JsonReply> listener) {}
 
-    /** Returns a client whose listeners run on the event loop; it connects on the first call. */
-    public static JsonClient to(EventLoop loop, InetSocketAddress address) {
-        return new JsonClient(loop, address);
+    /**
+     * Returns a client whose listeners run on the event loop; it connects on the first call.
+     *
+     * @param maxResponseBytes size of a body from which on it is not read any further and the call fails
+     */
+    public static JsonClient to(EventLoop loop, InetSocketAddress address, int maxResponseBytes) {
+        return new JsonClient(loop, address, maxResponseBytes);
     }
 
     /** Queues a call; its timeout starts when it is sent. */
@@ -123,7 +128,7 @@
                 CONNECT_TIMEOUT_MS,
                 ch -> ch.pipeline()
                         .addLast(new HttpClientCodec())
-                        .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
+                        .addLast(new HttpObjectAggregator(maxResponseBytes))
                         .addLast(new Handler()));
         connecting.addListener((ChannelFutureListener) f -> {
             if (current != call) {
--- a/src/main/java/org/jujuberouter/platform/HttpMemoryReservations.java
+++ b/src/main/java/org/jujuberouter/platform/HttpMemoryReservations.java
@@ -24,6 +24,9 @@
     /** Short, since the first event of a prompt that needs the memory is due within a few seconds. */
     private static final long TIMEOUT_MS = 400;
 
+    /** Holds a report with its at most 64 reservations; a prompt asks up to 17 engines at the same time. */
+    private static final int MAX_RESPONSE_BYTES = 256 << 10;
+
     private final EventLoop loop;
 
     private HttpMemoryReservations(EventLoop loop) {
@@ -83,7 +86,7 @@
     }
 
     private void call(String method, String path, Endpoint endpoint, byte[] body, Consumer<JsonReply> listener) {
-        JsonClient client = JsonClient.to(loop, endpoint.address());
+        JsonClient client = JsonClient.to(loop, endpoint.address(), MAX_RESPONSE_BYTES);
         // The address may belong to another engine by now, which refuses the call.
         Map<String, String> headers =
                 Map.of(PlatformHeaders.EXPECTED_ENDPOINT, endpoint.id().value());
--- a/src/main/java/org/jujuberouter/platform/KvControlStore.java
+++ b/src/main/java/org/jujuberouter/platform/KvControlStore.java
@@ -32,6 +32,9 @@
     /** Time for which a crash stays in the store; instances that follow the store learn of it within a second. */
     private static final long CRASH_LEASE_MS = 60_000;
 
+    /** Holds a page of a read, about 1 MB of values, and the changes of many seconds. */
+    private static final int MAX_RESPONSE_BYTES = 8 << 20;
+
     private final JsonClient client;
     private final JsonClient watchClient;
     private long lease;
@@ -43,7 +46,8 @@
 
     /** Returns a client of the store; watches have their own connection, so that they do not block other requests. */
     public static KvControlStore at(EventLoop loop, InetSocketAddress address) {
-        return new KvControlStore(JsonClient.to(loop, address), JsonClient.to(loop, address));
+        return new KvControlStore(
+                JsonClient.to(loop, address, MAX_RESPONSE_BYTES), JsonClient.to(loop, address, MAX_RESPONSE_BYTES));
     }
 
     @Override
--- a/src/test/java/org/jujuberouter/http/JsonClientTest.java
+++ b/src/test/java/org/jujuberouter/http/JsonClientTest.java
@@ -24,6 +24,7 @@
 /** Guards against a response that is taken for that to another call on the same connection. */
 class JsonClientTest {
     private static final long TIMEOUT_MS = 2_000;
+    private static final int MAX_RESPONSE_BYTES = 1_024;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -63,9 +64,11 @@
     void resetsAConnectionOnWhichACallHasTimedOut() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             CompletableFuture<JsonReply> reply = new CompletableFuture<>();
-            loop.execute(
-                    () -> JsonClient.to(loop, new InetSocketAddress(server.getInetAddress(), server.getLocalPort()))
-                            .call("GET", "/slow", null, 100, reply::complete));
+            loop.execute(() -> JsonClient.to(
+                            loop,
+                            new InetSocketAddress(server.getInetAddress(), server.getLocalPort()),
+                            MAX_RESPONSE_BYTES)
+                    .call("GET", "/slow", null, 100, reply::complete));
             try (Socket socket = server.accept()) {
                 assertInstanceOf(JsonReply.NoResponse.class, reply.get(TIMEOUT_MS, TimeUnit.MILLISECONDS));
                 socket.setSoTimeout((int) TIMEOUT_MS);
@@ -79,8 +82,8 @@
     void takesNoSecondCopyOfAResponseForThatToTheNextCall() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             Thread.ofVirtual().start(() -> serve(server));
-            JsonClient client =
-                    JsonClient.to(loop, new InetSocketAddress(server.getInetAddress(), server.getLocalPort()));
+            JsonClient client = JsonClient.to(
+                    loop, new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), MAX_RESPONSE_BYTES);
             CompletableFuture<String> one = new CompletableFuture<>();
             CompletableFuture<String> two = new CompletableFuture<>();
             loop.execute(() -> {
