Take no success without a revision for a confirmation of the view

Cause: KvControlStore looked at the status only and took the revision that it had asked for when the answer had none.

Change: an answer to a read or a watch counts only with the revision.

KvControlStoreTest before: four of five cases failed, Success instead of Failed.

--- a/src/main/java/org/jujuberouter/platform/KvControlStore.java
+++ b/src/main/java/org/jujuberouter/platform/KvControlStore.java
@@ -60,7 +60,7 @@
             List<ControlEvent> events, String after, long firstRevision, Consumer<ControlReply> listener) {
         String path = "/v1/kv-range?Prefix=" + (after.isEmpty() ? "" : "&After=" + encode(after));
         client.call("GET", path, null, CALL_TIMEOUT_MS, reply -> {
-            if (!(reply instanceof JsonReply.Response r) || r.status() != 200) {
+            if (!(reply instanceof JsonReply.Response r) || !isState(r)) {
                 listener.accept(failed("read", reply));
                 return;
             }
@@ -83,10 +83,10 @@
     public void watch(long afterRevision, long waitMs, Consumer<ControlReply> listener) {
         String path = "/v1/kv-watch?Prefix=&After=" + afterRevision + "&WaitMs=" + waitMs;
         watchClient.call("GET", path, null, waitMs + WATCH_MARGIN_MS, reply -> {
-            if (reply instanceof JsonReply.Response r && r.status() == 200) {
+            if (reply instanceof JsonReply.Response r && isState(r)) {
                 List<ControlEvent> events = new ArrayList<>();
                 r.body().path("events").forEach(e -> events.add(event(e)));
-                long revision = r.body().path("At").asLong(afterRevision);
+                long revision = r.body().path("At").asLong();
                 listener.accept(new ControlReply.Success(events, revision));
             } else if (reply instanceof JsonReply.Response r && r.status() == 410) {
                 listener.accept(new ControlReply.Compacted());
@@ -179,6 +179,11 @@
         client.call("DELETE", "/v1/kv-lease-end/" + lease, null, CALL_TIMEOUT_MS, _ -> done.run());
     }
 
+    /** Returns whether a response states the store's revision; one that was cut short does not. */
+    private static boolean isState(JsonReply.Response response) {
+        return response.status() == 200 && response.body().path("At").isIntegralNumber();
+    }
+
     private static ControlEvent event(JsonNode item) {
         String key = item.path("Key").asText();
         long revision = item.path("Rev").asLong();
--- /dev/null
+++ b/src/test/java/org/jujuberouter/platform/KvControlStoreTest.java
@@ -0,0 +1,69 @@
+package org.jujuberouter.platform;
+
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.jujuberouter.control.ControlReply;
+import org.jujuberouter.control.ControlStore;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against a view of the store that counts as confirmed by an answer that was cut short. */
+class KvControlStoreTest {
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+
+    @AfterEach
+    void stopLoop() {
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    /** A success without a body passed for one without changes, and confirmed revoked API keys. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]",
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+                "HTTP/1.1 200 OK\r\n\r\n{\"events\":[],"
+            })
+    void takesNoSuccessWithoutARevisionForAConfirmation(String response) throws Exception {
+        assertInstanceOf(ControlReply.Failed.class, reply(response, (store, l) -> store.watch(7, 100, l)));
+        assertInstanceOf(ControlReply.Failed.class, reply(response, ControlStore::read));
+    }
+
+    private ControlReply reply(String response, BiConsumer<ControlStore, Consumer<ControlReply>> call)
+            throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Thread.ofVirtual().start(() -> {
+                try (Socket socket = server.accept()) {
+                    socket.getInputStream().read();
+                    socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+                    socket.shutdownOutput();
+                    socket.getInputStream().skip(Long.MAX_VALUE);
+                } catch (IOException e) {
+                    // The client closed the connection.
+                    return;
+                }
+            });
+            InetSocketAddress address = new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+            CompletableFuture<ControlReply> reply = new CompletableFuture<>();
+            loop.execute(() -> call.accept(KvControlStore.at(loop, address), reply::complete));
+            return reply.get(5, TimeUnit.SECONDS);
+        }
+    }
+}
