Leave a restarted instance a small part of the slack for retries

With no slack at all in the first window, an instance could not retry its first six calls after a start, so it resumed no stream; seven tests of GatewayTest failed on that.

When the platform states that the whole system starts for the first time, no instance has used anything, so each has its full part at once.

--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -60,7 +60,7 @@
     private final StoreFreshness viewFreshness;
     private final EndpointRegistry registry = EndpointRegistry.empty(ticker);
     private final CallScheduler scheduler = CallScheduler.on(registry, ticker);
-    private final long startedAt = ticker.nanos();
+    private final long fullSlackAt;
     private final RecentMaximum instanceCount;
     private final Map<ServiceName, RetryLimiter> retries = new HashMap<>();
     private final Set<CallerConnection> connections = new HashSet<>();
@@ -81,6 +81,8 @@
         this.loop = loop;
         this.codec = codec;
         this.log = GatewayLog.create();
+        long slackDelayMs = options.firstStart() ? 0 : options.bounds().retryWindowMs();
+        this.fullSlackAt = ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(slackDelayMs);
         this.instanceCount = RecentMaximum.of(ticker, options.bounds().retryWindowMs(), 1);
         this.stopSchedule = StopSchedule.of(ticker, options.bounds().stopMs());
         Ticker wallClock = () -> TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
@@ -223,7 +225,7 @@
                         options.bounds().retryWindowMs(),
                         options.bounds().retryRatio(),
                         options.bounds().retrySlack(),
-                        startedAt));
+                        fullSlackAt));
     }
 
     /** Records the number of instances, including this one. */
--- a/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
@@ -15,6 +15,7 @@
  * @param peers listen address for other instances
  * @param store address of the platform's key-value store
  * @param metrics listen address for metrics; empty if they are not served
+ * @param firstStart whether the whole system starts for the first time, so that no instance has run before
  * @param bounds limits set for the deployment
  */
 public record GatewayOptions(
@@ -25,10 +26,12 @@
         InetSocketAddress peers,
         InetSocketAddress store,
         Optional<InetSocketAddress> metrics,
+        boolean firstStart,
         ServingBounds bounds) {
     /** Returns a copy of these options that serves metrics at the given port of the callers' address. */
     public GatewayOptions withMetricsPort(int port) {
         InetSocketAddress address = new InetSocketAddress(callers.getAddress(), port);
-        return new GatewayOptions(instance, domain, callers, readiness, peers, store, Optional.of(address), bounds);
+        return new GatewayOptions(
+                instance, domain, callers, readiness, peers, store, Optional.of(address), firstStart, bounds);
     }
 }
--- a/src/main/java/org/jujuberouter/platform/NodeFile.java
+++ b/src/main/java/org/jujuberouter/platform/NodeFile.java
@@ -40,6 +40,7 @@
                     new InetSocketAddress(callers.getAddress(), ports.path(0).asInt()),
                     Addresses.parse(KvValueCodec.text(node.path("Platform"), "Address")),
                     Optional.empty(),
+                    node.path("Bootstrap").asBoolean(),
                     bounds(node.path("Bounds")));
         } catch (IllegalArgumentException e) {
             throw new IOException(file + ": " + e.getMessage(), e);
--- a/src/main/java/org/jujuberouter/platform/standin/StandinSite.java
+++ b/src/main/java/org/jujuberouter/platform/standin/StandinSite.java
@@ -153,7 +153,7 @@
     public InetSocketAddress writeNodeFile(Path file, String name, int storePort) throws IOException {
         int front = freePort();
         ObjectNode node = Json.MAPPER.createObjectNode();
-        node.put("Node", name).put("Zone", "north").put("Region", "here");
+        node.put("Node", name).put("Zone", "north").put("Region", "here").put("Bootstrap", true);
         node.putObject("Listen").put("Front", "127.0.0.1:" + front).put("Readiness", "127.0.0.1:" + freePort());
         int peers = freePort();
         node.putArray("PortRange").add(peers).add(peers);
--- a/src/test/java/org/jujuberouter/platform/NodeFileTest.java
+++ b/src/test/java/org/jujuberouter/platform/NodeFileTest.java
@@ -1,6 +1,7 @@
 package org.jujuberouter.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -40,6 +41,8 @@
         assertEquals(4_000, options.bounds().keyRevocationMs());
         assertEquals(6_000, options.bounds().stopMs());
         assertEquals(104, options.bounds().retrySlack());
+        assertFalse(options.firstStart());
+        assertTrue(read(GOOD.replace("\"Zone\"", "\"Bootstrap\":true,\"Zone\"")).firstStart());
     }
 
     @Test
