--- a/src/test/java/org/jujuberouter/process/RetryBudgetTest.java
+++ b/src/test/java/org/jujuberouter/process/RetryBudgetTest.java
@@ -2,18 +2,15 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.jujuberouter.misc.Json;
 import org.jujuberouter.platform.standin.EngineStandin;
 import org.jujuberouter.platform.standin.StandinSite;
 import org.junit.jupiter.api.AfterEach;
@@ -38,12 +35,11 @@
     private static final int KILLS = 9;
     private static final long KILL_GAP_MS = 1_800;
 
-    private final List<URI> bases = new ArrayList<>();
-    private final List<ChildProcess> processes = new ArrayList<>();
     private final AtomicInteger requests = new AtomicInteger();
     private final List<Integer> requestSamples = new ArrayList<>();
     private final List<Integer> repeatSamples = new ArrayList<>();
     private StandinSite site;
+    private ServeProcesses instances;
     private volatile boolean running = true;
 
     @TempDir
@@ -52,41 +48,23 @@
     @BeforeEach
     void startInstances() throws Exception {
         site = StandinSite.start(1, 3, 20);
-        for (int i = 0; i < INSTANCES; i++) {
-            Path file = nodeFile(i);
-            bases.add(URI.create("http://127.0.0.1:"
-                    + site.writeNodeFile(file, "instance-" + i).getPort()));
-            ObjectNode node = (ObjectNode) Json.MAPPER.readTree(Files.readString(file));
-            node.withObject("Bounds")
-                    .put("BudgetSlack", SLACK)
-                    .put("BudgetWindowS", WINDOW_SAMPLES * SAMPLE_MS / 1_000);
-            Files.writeString(file, node.toString());
-            processes.add(startInstance(i));
-        }
+        instances = ServeProcesses.start(
+                site,
+                directory,
+                INSTANCES,
+                node -> node.withObject("Bounds")
+                        .put("BudgetSlack", SLACK)
+                        .put("BudgetWindowS", WINDOW_SAMPLES * SAMPLE_MS / 1_000));
         Thread.sleep(3_000);
         for (int i = 0; i < INSTANCES; i++) {
             // The platform states at each further start that the system is not starting for the first time.
-            ObjectNode node = (ObjectNode) Json.MAPPER.readTree(Files.readString(nodeFile(i)));
-            Files.writeString(nodeFile(i), node.put("Bootstrap", false).toString());
+            instances.changeSettings(i, node -> node.put("Bootstrap", false));
         }
     }
 
     @AfterEach
     void stopInstances() {
-        processes.forEach(ChildProcess::kill);
-        site.close();
-    }
-
-    private Path nodeFile(int i) {
-        return directory.resolve("node-" + i + ".json");
-    }
-
-    private ChildProcess startInstance(int i) throws IOException {
-        return ChildProcess.startWithOutputFile(
-                directory.resolve("log-" + i + "-" + System.nanoTime()),
-                "serve",
-                "--node-file",
-                nodeFile(i).toString());
+        instances.close();
     }
 
     /** Each start of an instance gave it its full part of the slack again. */
@@ -97,12 +75,11 @@
         threads.add(Thread.ofVirtual().start(this::sample));
         for (int i = 0; i < CALLERS; i++) {
             int instance = i % INSTANCES;
-            threads.add(Thread.ofVirtual().start(() -> call(bases.get(instance))));
+            threads.add(Thread.ofVirtual().start(() -> call(instances.base(instance))));
         }
         for (int i = 0; i < KILLS; i++) {
             Thread.sleep(KILL_GAP_MS);
-            processes.get(i % INSTANCES).kill();
-            processes.set(i % INSTANCES, startInstance(i % INSTANCES));
+            instances.restart(i % INSTANCES, "KILL");
         }
         running = false;
         for (Thread t : threads) {
--- a/src/test/java/org/jujuberouter/process/RollingStopTest.java
+++ b/src/test/java/org/jujuberouter/process/RollingStopTest.java
@@ -46,12 +46,11 @@
     private static final List<String> PATHS =
             List.of("/chat/stream", "/chat/stream", "/talk/stream", "/post/x", "/read/x");
 
-    private final List<URI> bases = new ArrayList<>();
-    private final List<ChildProcess> processes = new ArrayList<>();
     private final AtomicInteger requests = new AtomicInteger();
     private final AtomicInteger answers = new AtomicInteger();
     private final Queue<String> unanswered = new ConcurrentLinkedQueue<>();
     private StandinSite site;
+    private ServeProcesses instances;
     private volatile boolean running = true;
 
     @TempDir
@@ -60,30 +59,13 @@
     @BeforeEach
     void startInstances() throws Exception {
         site = StandinSite.start(6, 3, EVENT_GAP_MS);
-        for (int i = 0; i < INSTANCES; i++) {
-            bases.add(URI.create("http://127.0.0.1:"
-                    + site.writeNodeFile(nodeFile(i), "instance-" + i).getPort()));
-            processes.add(startInstance(i));
-        }
+        instances = ServeProcesses.start(site, directory, INSTANCES, _ -> {});
         Thread.sleep(3_000);
     }
 
     @AfterEach
     void stopInstances() {
-        processes.forEach(ChildProcess::kill);
-        site.close();
-    }
-
-    private Path nodeFile(int i) {
-        return directory.resolve("node-" + i + ".json");
-    }
-
-    private ChildProcess startInstance(int i) throws IOException {
-        return ChildProcess.startWithOutputFile(
-                directory.resolve("log-" + i + "-" + System.nanoTime()),
-                "serve",
-                "--node-file",
-                nodeFile(i).toString());
+        instances.close();
     }
 
     @Test
@@ -124,9 +106,7 @@
 
     private void restart(int i) {
         try {
-            processes.get(i).signal("TERM");
-            processes.get(i).awaitExit(15);
-            processes.set(i, startInstance(i));
+            instances.restart(i, "TERM");
         } catch (IOException e) {
             throw new java.io.UncheckedIOException(e);
         } catch (InterruptedException e) {
@@ -144,7 +124,11 @@
                     client.close();
                     client = client();
                 }
-                send(client, bases.get(random.nextInt(INSTANCES)), PATHS.get(random.nextInt(PATHS.size())), random);
+                send(
+                        client,
+                        instances.base(random.nextInt(INSTANCES)),
+                        PATHS.get(random.nextInt(PATHS.size())),
+                        random);
                 Thread.sleep(random.nextInt(5, 80));
             }
         } catch (InterruptedException e) {
