Keep new connections open while an instance stops

Callers that had just connected to a stopping instance got no answer: the connection was closed before their request arrived.

Cause: out of rotation, the instance closes all connections without a request each 50 ms, whatever their age. The platform still sends new ones when few instances of a failure domain are in rotation.

Change: a connection is closed only if it has had no request for 1 s. It does not hold up the end of the instance.

GracefulStopTest.answersTheRequestOnAConnectionThatIsOpenedDuring- TheStop failed before: an empty answer after 300 ms.

--- a/src/main/java/org/jujuberouter/gateway/CallerConnection.java
+++ b/src/main/java/org/jujuberouter/gateway/CallerConnection.java
@@ -48,6 +48,7 @@
     private boolean keepAlive = true;
     private boolean discarding;
     private ScheduledFuture<?> timer;
+    private long idleSinceNanos;
 
     CallerConnection(Gateway gateway) {
         this.gateway = gateway;
@@ -221,7 +222,7 @@
         return exchange != null;
     }
 
-    boolean isIdle() {
+    private boolean isIdle() {
         return exchange == null && head == null;
     }
 
@@ -256,7 +257,13 @@
         }
     }
 
+    /** Returns whether the connection has been open without a request for the given time. */
+    boolean isIdleFor(long millis) {
+        return isIdle() && gateway.ticker().nanos() - idleSinceNanos >= TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
     private void startIdleTimer() {
+        idleSinceNanos = gateway.ticker().nanos();
         startTimer(gateway.idleTimeoutMs(), () -> {
             if (isIdle()) {
                 context.close();
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -50,6 +50,9 @@
     /** Range of the random delay before queued calls are retried after a capacity change. */
     private static final long PLACEMENT_JITTER_MS = 9;
 
+    /** Time after which no more request is expected on a new connection; callers give up connecting after 1 s. */
+    private static final long MAX_REQUEST_DELAY_MS = 1_000;
+
     private final GatewayOptions options;
     private final EventLoop loop;
     private final CallCodec codec;
@@ -196,9 +199,10 @@
                 "stopping", Map.entry("running", running.size()), Map.entry("connections", connections.size()));
     }
 
+    /** Closes the connections whose callers have no request under way, as far as that can be told. */
     void closeIdleConnections() {
         for (CallerConnection c : new ArrayList<>(connections)) {
-            if (c.isIdle()) {
+            if (c.isIdleFor(MAX_REQUEST_DELAY_MS)) {
                 c.close();
             }
         }
--- a/src/test/java/org/jujuberouter/gateway/GracefulStopTest.java
+++ b/src/test/java/org/jujuberouter/gateway/GracefulStopTest.java
@@ -100,6 +100,25 @@
         assertEquals(1, runs("running"));
     }
 
+    /** Connections that had just been opened were closed at the next check, before their request arrived. */
+    @Test
+    void answersTheRequestOnAConnectionThatIsOpenedDuringTheStop() throws Exception {
+        site.ledgers().forEach(e -> e.setBehaviour(Behaviour.HANG));
+        CompletableFuture<HttpResponse<String>> early = send("/archive/x", "early", 6_500);
+        InstanceFixture.await(() -> runs("early") == 1);
+        CompletableFuture<Void> stop = stop();
+        Thread.sleep(3_500);
+        try (Socket socket =
+                new Socket(instance.base().getHost(), instance.base().getPort())) {
+            Thread.sleep(300);
+            writeRequest(socket, "late");
+            String answer = new String(readToEnd(socket), StandardCharsets.US_ASCII);
+            assertTrue(answer.startsWith("HTTP/1.1 503"), "answer: " + answer);
+        }
+        assertEquals(504, early.join().statusCode());
+        stop.join();
+    }
+
     /** The endpoint has answered, but the caller has not read everything yet. */
     @Test
     void writesTheWholeAnswerToASlowCallerBeforeItEnds() throws Exception {
@@ -108,10 +127,7 @@
             socket.setReceiveBufferSize(4_096);
             socket.connect(new InetSocketAddress(
                     instance.base().getHost(), instance.base().getPort()));
-            String request = "GET /read/x HTTP/1.1\r\nHost: " + StandinSite.HOST
-                    + "\r\nX-Jujuberouter-Attempt-Id: slow-reader\r\nAuthorization: Bearer " + StandinSite.KEY
-                    + "\r\n\r\n";
-            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            writeRequest(socket, "slow-reader");
             InstanceFixture.await(() -> runs("slow-reader") == 1);
             CompletableFuture<Void> stop = stop();
             Thread.sleep(3_500);
@@ -124,6 +140,12 @@
         }
     }
 
+    private static void writeRequest(Socket socket, String id) throws IOException {
+        String request = "GET /read/x HTTP/1.1\r\nHost: " + StandinSite.HOST + "\r\nX-Jujuberouter-Attempt-Id: " + id
+                + "\r\nAuthorization: Bearer " + StandinSite.KEY + "\r\n\r\n";
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+    }
+
     private static byte[] readToEnd(Socket socket) throws IOException {
         socket.setSoTimeout(5_000);
         try (InputStream in = socket.getInputStream()) {
