Decode each entry of the configuration by itself

Callers with a key that a newer version had taken away were served without end if any entry of that version could not be read. Cause: the decoder gave up the whole version, the one before it stayed in force, and the view of the store still counted as current.

--- a/src/main/java/org/jujuberouter/catalog/Route.java
+++ b/src/main/java/org/jujuberouter/catalog/Route.java
@@ -38,6 +38,16 @@
         targets = List.copyOf(targets);
     }
 
+    /** Returns a route whose entry cannot be read; its calls are refused until an operator corrects it. */
+    public static Route unreadable(String name, String host, String prefix) {
+        return new Route(name, host, prefix, RetryPolicy.NON_IDEMPOTENT, 0, 0, 0, 0, 0, List.of(), 1, false);
+    }
+
+    /** Returns whether the route leads to a service. */
+    public boolean hasService() {
+        return !targets.isEmpty();
+    }
+
     /** A service and its share of a route's calls. */
     public record WeightedService(ServiceName service, double weight) {}
 
--- a/src/main/java/org/jujuberouter/control/ControlEntry.java
+++ b/src/main/java/org/jujuberouter/control/ControlEntry.java
@@ -11,8 +11,17 @@
 
 /** The decoded value of a key in the store. */
 public sealed interface ControlEntry {
-    /** The configuration set by the operator. */
-    record Configuration(Catalog catalog) implements ControlEntry {}
+    /**
+     * The configuration set by the operator.
+     *
+     * @param unreadable the entries that cannot be read, with the reasons; the rest is in force
+     */
+    record Configuration(Catalog catalog, List<String> unreadable) implements ControlEntry {
+        /** Copies the list. */
+        public Configuration {
+            unreadable = List.copyOf(unreadable);
+        }
+    }
 
     /** The registration of an endpoint. */
     record EndpointRegistration(Endpoint endpoint) implements ControlEntry {}
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -26,7 +26,6 @@
 import org.jujuberouter.http.ResponseListener;
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.RequestTrait;
-import org.jujuberouter.id.ServiceName;
 
 /**
  * The life cycle of one call: admission, placement, sending, relaying of the response, completion.
@@ -146,31 +145,22 @@
         return finished;
     }
 
-    /** Resolves route, customer and service; responds with an error and returns false if one is missing. */
+    /** Checks the call against the configuration; responds with an error and returns false if it is not allowed. */
     private boolean admit(Catalog catalog) {
-        Optional<Route> found = catalog.route(call.host(), call.path());
-        if (found.isEmpty()) {
-            respondWithError(404, "no route for the host and path", -1);
-            return false;
-        }
-        route = found.get();
-        if (catalog.apiKeys().isRequired() && !route.publicAccess()) {
-            customer = catalog.apiKeys().customer(call.apiKey());
-            if (customer.isEmpty()) {
-                respondWithError(401, "the API key is unknown", -1);
+        switch (Admission.of(catalog, call)) {
+            case Admission.Rejected r -> {
+                respondWithError(r.status(), r.reason(), r.retryAfterMs());
                 return false;
             }
-            telemetry.setCustomer(customer.get().id().value());
-        }
-        ServiceName name = route.serviceFor(call.id().hashCode());
-        Optional<ServiceSpec> spec = catalog.service(name);
-        if (spec.isEmpty()) {
-            respondWithError(503, "the service " + name + " is not declared", RETRY_AFTER_MS);
-            return false;
+            case Admission.Admitted a -> {
+                route = a.route();
+                customer = a.customer();
+                service = a.service();
+                customer.ifPresent(c -> telemetry.setCustomer(c.id().value()));
+                telemetry.setService(service.name());
+                return true;
+            }
         }
-        service = spec.get();
-        telemetry.setService(name);
-        return true;
     }
 
     /** Tries to place the call; returns false if it has to stay queued, to be retried when capacity changes. */
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -391,7 +391,12 @@
     @Override
     public void onWritten(String key, ControlEntry entry) {
         switch (entry) {
-            case ControlEntry.Configuration c -> configure(c.catalog());
+            case ControlEntry.Configuration c -> {
+                c.unreadable()
+                        .forEach(part ->
+                                log.stateChanged("unreadable part of the configuration", Map.entry("part", part)));
+                configure(c.catalog());
+            }
             case ControlEntry.EndpointRegistration r -> {
                 registry.register(r.endpoint());
                 log.stateChanged(
--- a/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
@@ -15,6 +15,7 @@
 import org.jujuberouter.catalog.RetryPolicy;
 import org.jujuberouter.catalog.Route;
 import org.jujuberouter.catalog.ServiceSpec;
+import org.jujuberouter.control.ControlEntry;
 import org.jujuberouter.id.CustomerId;
 import org.jujuberouter.id.ServiceName;
 
@@ -27,12 +28,41 @@
 
     private ConfigurationDecoder() {}
 
-    static Catalog decode(JsonNode config) {
+    /**
+     * Decodes a configuration. An entry that cannot be read is listed instead of failing the whole: otherwise the keys
+     * that this version takes away would stay in force with the version before it.
+     */
+    static ControlEntry.Configuration decode(JsonNode config) {
+        if (!config.isObject()) {
+            throw new IllegalArgumentException("the configuration is not an object");
+        }
+        List<String> unreadable = new ArrayList<>();
         List<Route> routes = new ArrayList<>();
-        config.path("Routes").forEach(r -> routes.add(route(r)));
+        for (JsonNode r : config.path("Routes")) {
+            try {
+                routes.add(route(r));
+            } catch (IllegalArgumentException e) {
+                unreadable.add("route " + r.path("Name").asText() + ": " + e.getMessage());
+                // Without it, its calls would match a route with a shorter prefix, which leads to another service.
+                if (r.path("Host").isTextual() && r.path("Prefix").isTextual()) {
+                    routes.add(Route.unreadable(
+                            r.path("Name").asText(),
+                            r.path("Host").asText(),
+                            r.path("Prefix").asText()));
+                }
+            }
+        }
         List<ServiceSpec> services = new ArrayList<>();
-        config.path("Services").forEach(s -> services.add(service(s)));
-        return Catalog.of(config.path("Version").asLong(), routes, services, apiKeys(config), limits(config));
+        for (JsonNode s : config.path("Services")) {
+            try {
+                services.add(service(s));
+            } catch (IllegalArgumentException e) {
+                unreadable.add("service " + s.path("Name").asText() + ": " + e.getMessage());
+            }
+        }
+        Catalog catalog = Catalog.of(
+                config.path("Version").asLong(), routes, services, apiKeys(config, unreadable), limits(config));
+        return new ControlEntry.Configuration(catalog, unreadable);
     }
 
     private static Route route(JsonNode r) {
@@ -110,7 +140,7 @@
     }
 
     /** The field "Tenants" alone makes keys necessary, also if it holds no customer or no key. */
-    private static ApiKeys apiKeys(JsonNode config) {
+    private static ApiKeys apiKeys(JsonNode config, List<String> unreadable) {
         if (!config.hasNonNull("Tenants")) {
             return ApiKeys.notRequired();
         }
@@ -118,8 +148,12 @@
         for (JsonNode t : config.path("Tenants")) {
             OptionalInt priority =
                     t.has("Priority") ? OptionalInt.of(t.path("Priority").asInt()) : OptionalInt.empty();
-            Customer customer = new Customer(CustomerId.of(KvValueCodec.text(t, "Name")), priority);
-            t.path("ApiKeys").forEach(k -> byKey.put(k.asText(), customer));
+            try {
+                Customer customer = new Customer(CustomerId.of(KvValueCodec.text(t, "Name")), priority);
+                t.path("ApiKeys").forEach(k -> byKey.put(k.asText(), customer));
+            } catch (IllegalArgumentException e) {
+                unreadable.add("customer " + t.path("Name").asText() + ": " + e.getMessage());
+            }
         }
         // A call without a key must not match an entry without text.
         byKey.remove("");
--- a/src/main/java/org/jujuberouter/platform/KvValueCodec.java
+++ b/src/main/java/org/jujuberouter/platform/KvValueCodec.java
@@ -34,7 +34,7 @@
             }
             byte[] value = Base64.getDecoder().decode(base64);
             if (key.equals(StoreKeys.CONFIGURATION)) {
-                return new ControlEntry.Configuration(ConfigurationDecoder.decode(Json.MAPPER.readTree(value)));
+                return ConfigurationDecoder.decode(Json.MAPPER.readTree(value));
             } else if (key.startsWith(StoreKeys.ENDPOINTS)) {
                 String id = key.substring(StoreKeys.ENDPOINTS.length());
                 return new ControlEntry.EndpointRegistration(endpoint(id, Json.MAPPER.readTree(value)));
