Refuse withdrawn keys when no customers are declared any more

A version without customers needs no keys, so a call with a key that it took away ran at an endpoint. Cause: without customers the key of a call was not looked at. The keys of earlier versions are remembered and refused with 401; calls without a key run as before. GatewayTest.refusesAWithdrawnKeyAlsoWhenNoCustomersAreDeclaredAnyMore failed before (no 401 in 10 s) and passes now.

--- a/src/main/java/org/jujuberouter/catalog/Catalog.java
+++ b/src/main/java/org/jujuberouter/catalog/Catalog.java
@@ -46,6 +46,14 @@
         return catalog;
     }
 
+    /** Returns this catalog with the keys of the catalog before it withdrawn, unless they are still there. */
+    public Catalog succeeding(Catalog previous) {
+        Catalog next = new Catalog(version, apiKeys.succeeding(previous.apiKeys), limits);
+        next.routes.putAll(routes);
+        next.services.putAll(services);
+        return next;
+    }
+
     /** Returns the version number that the operator assigned. */
     public long version() {
         return version;
--- a/src/main/java/org/jujuberouter/gateway/Admission.java
+++ b/src/main/java/org/jujuberouter/gateway/Admission.java
@@ -38,6 +38,8 @@
             if (customer.isEmpty()) {
                 return new Rejected(401, "the API key is unknown", -1);
             }
+        } else if (keys.isWithdrawn(call.apiKey()) && !route.publicAccess()) {
+            return new Rejected(401, "the API key was withdrawn", -1);
         }
         if (!route.hasService()) {
             return new Rejected(503, "the route " + route.name() + " cannot be read", RETRY_AFTER_MS);
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -424,7 +424,7 @@
             return;
         }
         previousIdleTimeoutMs = limits().idleTimeoutMs();
-        catalog = Optional.of(newCatalog);
+        catalog = Optional.of(catalog.map(newCatalog::succeeding).orElse(newCatalog));
         log.stateChanged("configuration in force", Map.entry("version", newCatalog.version()));
         capacityChanged();
     }
--- a/src/main/java/org/jujuberouter/platform/standin/StandinSite.java
+++ b/src/main/java/org/jujuberouter/platform/standin/StandinSite.java
@@ -82,7 +82,20 @@
         configure(List.of(), List.of());
     }
 
+    /** Writes a new version of the configuration that declares no customers. */
+    public void removeCustomers() {
+        store.put("op/config", configuration().toString());
+    }
+
     private void configure(List<String> otherKeys, List<String> firstKeys) {
+        ObjectNode config = configuration();
+        ArrayNode customers = config.putArray("Tenants");
+        otherKeys.forEach(customers.addObject().put("Name", "other").putArray("ApiKeys")::add);
+        firstKeys.forEach(customers.addObject().put("Name", "first").putArray("ApiKeys")::add);
+        store.put("op/config", config.toString());
+    }
+
+    private ObjectNode configuration() {
         ObjectNode config = Json.MAPPER.createObjectNode().put("Version", ++version);
         ArrayNode routes = config.putArray("Routes");
         route(routes, "/chat/", "streaming", ENGINES).put("StreamResume", true).put("TargetGapMs", 250);
@@ -123,10 +136,7 @@
                 .put("MaxBodyBytes", 1 << 20)
                 .put("HeaderTimeoutMs", 1_000)
                 .put("IdleTimeoutMs", 5_000);
-        ArrayNode customers = config.putArray("Tenants");
-        otherKeys.forEach(customers.addObject().put("Name", "other").putArray("ApiKeys")::add);
-        firstKeys.forEach(customers.addObject().put("Name", "first").putArray("ApiKeys")::add);
-        store.put("op/config", config.toString());
+        return config;
     }
 
     /** Writes the registration of an endpoint with the given state. */
--- a/src/test/java/org/jujuberouter/gateway/GatewayTest.java
+++ b/src/test/java/org/jujuberouter/gateway/GatewayTest.java
@@ -247,6 +247,21 @@
         }
     }
 
+    /** A version without any customers needs no keys, and calls with the keys that it takes away were accepted. */
+    @Test
+    void refusesAWithdrawnKeyAlsoWhenNoCustomersAreDeclaredAnyMore() throws Exception {
+        site.removeCustomers();
+        await(() -> send("/read/x").statusCode() == 401);
+        HttpRequest keyless = HttpRequest.newBuilder(base.resolve("/read/x"))
+                .header("Host", StandinSite.HOST)
+                .header("X-Jujuberouter-Attempt-Id", "without-a-key")
+                .header("X-Jujuberouter-Deadline-Ms", "4000")
+                .build();
+        assertEquals(
+                200,
+                client.send(keyless, HttpResponse.BodyHandlers.discarding()).statusCode());
+    }
+
     @Test
     void acceptsNoKeyWhenTheStoreHasBeenSilentForTheRevocationBound() throws Exception {
         site.store().setMode(KvStandin.Mode.SILENT);
