Probe engines that are silent for longer than predicted

Calls with large prompts that had been sent to an engine which went dark waited for 0.7 of their caller's timeout, 10 s of 15 s, before they went on at another engine. Cause: one limit of silence, which must be long as such a prompt rightly takes seconds. An engine that leaves two probes unanswered counts as silent at once; one that answers keeps its call.

--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -269,8 +269,14 @@
                 (long) (requirements.callerTimeoutMs() * MAX_SILENCE_FRACTION),
                 Math.round(2 * placement.predictedFirstEventMs()) + SILENCE_MARGIN_MS);
         if (thisAttempt == attempt) {
-            thisAttempt.silence =
-                    SilenceCheck.start(gateway.loop(), silenceMs, thisAttempt::silentForMs, () -> onSilence(silenceMs));
+            thisAttempt.silence = SilenceCheck.start(
+                    gateway.loop(),
+                    service.engine().isPresent()
+                            ? SilenceCheck.Limits.probed(silenceMs, placement.predictedFirstEventMs())
+                            : SilenceCheck.Limits.notProbed(silenceMs),
+                    thisAttempt::silentForMs,
+                    listener -> gateway.probe().probe(endpoint, listener),
+                    () -> onSilence(thisAttempt.silentForMs()));
         }
     }
 
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -57,6 +57,7 @@
     private final EventLoop loop;
     private final CallCodec codec;
     private final MemoryReservations reservations;
+    private final EndpointProbe probe;
     private final Ticker ticker = Ticker.system();
     private final GatewayLog log;
     private final GatewayMetrics metrics = new GatewayMetrics();
@@ -79,8 +80,14 @@
     private boolean placementScheduled;
     private boolean storeReachable;
 
-    Gateway(GatewayOptions options, EventLoop loop, CallCodec codec, MemoryReservations reservations) {
+    Gateway(
+            GatewayOptions options,
+            EventLoop loop,
+            CallCodec codec,
+            MemoryReservations reservations,
+            EndpointProbe probe) {
         this.reservations = reservations;
+        this.probe = probe;
         this.options = options;
         this.loop = loop;
         this.codec = codec;
@@ -129,6 +136,10 @@
         return reservations;
     }
 
+    EndpointProbe probe() {
+        return probe;
+    }
+
     GatewayLog log() {
         return log;
     }
--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -61,7 +61,7 @@
         this.options = options;
         this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         this.loop = group.next();
-        this.gateway = new Gateway(options, loop, platform.codec(), platform.reservations(loop));
+        this.gateway = new Gateway(options, loop, platform.codec(), platform.reservations(loop), platform.probe(loop));
         this.store = platform.store(loop, options.store());
     }
 
--- a/src/main/java/org/jujuberouter/gateway/PlatformAdapter.java
+++ b/src/main/java/org/jujuberouter/gateway/PlatformAdapter.java
@@ -14,4 +14,7 @@
 
     /** Returns a client for memory reservations at engines; its listeners run on the loop. */
     MemoryReservations reservations(EventLoop loop);
+
+    /** Returns a client that probes endpoints; its listeners run on the loop. */
+    EndpointProbe probe(EventLoop loop);
 }
--- a/src/main/java/org/jujuberouter/platform/HttpPlatformAdapter.java
+++ b/src/main/java/org/jujuberouter/platform/HttpPlatformAdapter.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import org.jujuberouter.control.ControlStore;
 import org.jujuberouter.gateway.CallCodec;
+import org.jujuberouter.gateway.EndpointProbe;
 import org.jujuberouter.gateway.MemoryReservations;
 import org.jujuberouter.gateway.PlatformAdapter;
 
@@ -30,4 +31,9 @@
     public MemoryReservations reservations(EventLoop loop) {
         return HttpMemoryReservations.on(loop);
     }
+
+    @Override
+    public EndpointProbe probe(EventLoop loop) {
+        return EndpointCalls.on(loop);
+    }
 }
--- a/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
+++ b/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
@@ -40,6 +40,8 @@
         BREAK,
         /** Runs the request and sends no response for a long time. */
         HANG,
+        /** Runs the request and answers nothing any more, other calls neither, with all connections open. */
+        FREEZE,
         /** Runs the request and pauses for a long time after some events, with the connection open. */
         STALL,
         /** Runs the request to its end, but sends nothing more after some events, with the connection open. */
@@ -233,6 +235,9 @@
             return;
         }
         if (exchange.getRequestURI().getPath().equals("/v1/report")) {
+            if (behaviour == Behaviour.FREEZE) {
+                pause(HANG_MS);
+            }
             reply(exchange, 200, report());
             return;
         }
@@ -251,7 +256,7 @@
             crash();
             return;
         }
-        if (behaviour == Behaviour.HANG) {
+        if (behaviour == Behaviour.HANG || behaviour == Behaviour.FREEZE) {
             pause(HANG_MS);
         }
         if (exchange.getRequestURI().getPath().endsWith("/stream")) {
