Make each group of instances a slice through all failure domains

The registration of an instance gains its domain. While an instance of an older build is listed, whose domain is unknown, groups are formed without domains, so that all instances compute the same ones.

--- a/src/main/java/org/jujuberouter/control/ControlEntry.java
+++ b/src/main/java/org/jujuberouter/control/ControlEntry.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import org.jujuberouter.catalog.Catalog;
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.id.EndpointId;
@@ -29,8 +30,14 @@
     /** An operator's order to send no new calls to a failure domain. */
     record Evacuation(FailureDomain domain) implements ControlEntry {}
 
-    /** A live instance and the address on which its peers connect to it. */
-    record Peer(InstanceId instance, InetSocketAddress address) implements ControlEntry {}
+    /**
+     * A live instance.
+     *
+     * @param address the address on which its peers connect to it
+     * @param domain its failure domain; empty if the instance is of a build that does not register it
+     */
+    record Peer(InstanceId instance, InetSocketAddress address, Optional<FailureDomain> domain)
+            implements ControlEntry {}
 
     /**
      * The crash of an endpoint.
--- a/src/main/java/org/jujuberouter/control/ControlStore.java
+++ b/src/main/java/org/jujuberouter/control/ControlStore.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.RequestTrait;
 
@@ -21,7 +22,12 @@
     void cancelWatch();
 
     /** Registers this instance under a new lease; the listener receives null or the reason for a failure. */
-    void register(InstanceId instance, InetSocketAddress peerAddress, long leaseMs, Consumer<String> listener);
+    void register(
+            InstanceId instance,
+            FailureDomain domain,
+            InetSocketAddress peerAddress,
+            long leaseMs,
+            Consumer<String> listener);
 
     /** Renews the lease of the registration; the listener receives false if this instance must register again. */
     void renew(Consumer<Boolean> listener);
--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -134,7 +134,7 @@
     }
 
     private void register() {
-        store.register(options.instance(), options.peers(), LEASE_MS, reason -> {
+        store.register(options.instance(), options.domain(), options.peers(), LEASE_MS, reason -> {
             if (reason == null) {
                 loop.schedule(this::renew, RENEW_INTERVAL_MS, TimeUnit.MILLISECONDS);
             } else {
--- a/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
+++ b/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
+import org.jujuberouter.control.ControlEntry;
 import org.jujuberouter.control.StoreWatcher;
 import org.jujuberouter.dispatch.Allocation;
 import org.jujuberouter.dispatch.InstanceGroups;
@@ -64,6 +65,7 @@
     private final Map<RequestId, PlacedWork> ownWork = new HashMap<>();
     private final Map<RequestId, PlacedWork> peerWork = new LinkedHashMap<>();
     private final Map<InstanceId, InetSocketAddress> addresses = new HashMap<>();
+    private final Map<InstanceId, FailureDomain> domains = new HashMap<>();
     private final Set<InstanceId> connectedUnlisted = new HashSet<>();
     private Set<InstanceId> members = Set.of();
     private int groupCount;
@@ -89,6 +91,7 @@
             Gateway gateway, StoreWatcher watcher, EventLoop loop, Ticker ticker, GatewayOptions options)
             throws IOException {
         PeerLoadSync sync = new PeerLoadSync(gateway, watcher, loop, ticker, options.instance());
+        sync.domains.put(options.instance(), options.domain());
         // The start time suffices as a number that increases with each start: no decision depends on it.
         Incarnation incarnation = Incarnation.of(options.instance(), System.currentTimeMillis());
         sync.network = PeerNetwork.startOn(loop, incarnation, options.domain(), options.peers(), ticker, sync);
@@ -98,11 +101,12 @@
         return sync;
     }
 
-    /** Records the address of an instance that the store lists. */
-    void peerListed(InstanceId instance, InetSocketAddress address) {
-        connectedUnlisted.remove(instance);
-        if (!instance.equals(self)) {
-            addresses.put(instance, address);
+    /** Records the address and the domain of an instance that the store lists. */
+    void peerListed(ControlEntry.Peer peer) {
+        connectedUnlisted.remove(peer.instance());
+        if (!peer.instance().equals(self)) {
+            addresses.put(peer.instance(), peer.address());
+            peer.domain().ifPresentOrElse(d -> domains.put(peer.instance(), d), () -> domains.remove(peer.instance()));
             membersChanged();
         }
     }
@@ -121,6 +125,7 @@
             connectedUnlisted.add(instance);
             return;
         }
+        domains.remove(instance);
         if (addresses.remove(instance) != null && observedLive) {
             removeWorkOf(instance);
         }
@@ -141,7 +146,11 @@
         Set<InstanceId> all = new HashSet<>(addresses.keySet());
         all.add(self);
         int groups = InstanceGroups.groupCount(all.size());
-        Map<InstanceId, Integer> assigned = InstanceGroups.assign(INSTANCE_GROUPS, all, groups);
+        // Instances of builds that register no domain compute groups without domains, and all must compute the same.
+        boolean byDomain = domains.size() == all.size();
+        Map<InstanceId, Integer> assigned = byDomain
+                ? InstanceGroups.assignByDomain(INSTANCE_GROUPS, domains, groups)
+                : InstanceGroups.assign(INSTANCE_GROUPS, all, groups);
         int ownGroup = assigned.get(self);
         Set<InstanceId> newMembers = new HashSet<>(all);
         newMembers.removeIf(i -> i.equals(self) || assigned.get(i) != ownGroup);
@@ -162,7 +171,7 @@
         }
         members = newMembers;
         selectProving();
-        gateway.registry().setGroup(ownGroup, groups);
+        gateway.registry().setGroup(ownGroup, groups, byDomain);
         // Only one side of each pair connects, which halves the number of connections.
         network.connectTo(members.stream()
                 .filter(i -> i.compareTo(self) > 0)
--- a/src/main/java/org/jujuberouter/platform/KvControlStore.java
+++ b/src/main/java/org/jujuberouter/platform/KvControlStore.java
@@ -18,6 +18,7 @@
 import org.jujuberouter.http.JsonClient;
 import org.jujuberouter.http.JsonReply;
 import org.jujuberouter.id.EndpointId;
+import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.RequestTrait;
 import org.jujuberouter.misc.Json;
@@ -102,21 +103,26 @@
     }
 
     @Override
-    public void register(InstanceId instance, InetSocketAddress peerAddress, long leaseMs, Consumer<String> listener) {
+    public void register(
+            InstanceId instance,
+            FailureDomain domain,
+            InetSocketAddress peerAddress,
+            long leaseMs,
+            Consumer<String> listener) {
         grantLease(leaseMs, listener, granted -> {
             lease = granted;
-            writeRegistration(instance, peerAddress, listener);
+            writeRegistration(instance, KvValueCodec.encodePeer(peerAddress, domain), listener);
         });
     }
 
-    private void writeRegistration(InstanceId instance, InetSocketAddress peerAddress, Consumer<String> listener) {
+    private void writeRegistration(InstanceId instance, byte[] registration, Consumer<String> listener) {
         ObjectNode transaction = Json.MAPPER.createObjectNode();
         transaction.putArray("Expected");
         transaction.putArray("Delete");
         ArrayNode puts = transaction.putArray("Puts");
         puts.addObject()
                 .put("Key", StoreKeys.INSTANCES + instance.value())
-                .put("Value", Base64.getEncoder().encodeToString(KvValueCodec.encodePeer(peerAddress)))
+                .put("Value", Base64.getEncoder().encodeToString(registration))
                 .put("Lease", lease);
         client.call("POST", "/v1/kv-txn", bytes(transaction), CALL_TIMEOUT_MS, reply -> {
             boolean written = reply instanceof JsonReply.Response r && r.status() == 200;
--- a/src/main/java/org/jujuberouter/platform/KvValueCodec.java
+++ b/src/main/java/org/jujuberouter/platform/KvValueCodec.java
@@ -41,7 +41,10 @@
             } else if (key.startsWith(StoreKeys.INSTANCES)) {
                 String id = key.substring(StoreKeys.INSTANCES.length());
                 JsonNode peer = Json.MAPPER.readTree(value);
-                return new ControlEntry.Peer(InstanceId.of(id), Addresses.parse(text(peer, "peers")));
+                // Instances of older builds do not register their domain.
+                Optional<FailureDomain> domain =
+                        peer.has("Zone") ? Optional.of(FailureDomain.of(text(peer, "Zone"))) : Optional.empty();
+                return new ControlEntry.Peer(InstanceId.of(id), Addresses.parse(text(peer, "peers")), domain);
             }
             if (key.startsWith(StoreKeys.CRASHES)) {
                 String id = key.substring(StoreKeys.CRASHES.length()).split("/")[0];
@@ -75,8 +78,11 @@
         return calls.toString().getBytes(StandardCharsets.UTF_8);
     }
 
-    static byte[] encodePeer(InetSocketAddress address) {
-        ObjectNode value = Json.MAPPER.createObjectNode().put("peers", Addresses.format(address));
+    static byte[] encodePeer(InetSocketAddress address, FailureDomain domain) {
+        ObjectNode value = Json.MAPPER
+                .createObjectNode()
+                .put("peers", Addresses.format(address))
+                .put("Zone", domain.value());
         return value.toString().getBytes(StandardCharsets.UTF_8);
     }
 
--- a/src/test/java/org/jujuberouter/control/StoreWatcherTest.java
+++ b/src/test/java/org/jujuberouter/control/StoreWatcherTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -99,7 +100,12 @@
         }
 
         @Override
-        public void register(InstanceId instance, InetSocketAddress peers, long leaseMs, Consumer<String> answer) {}
+        public void register(
+                InstanceId instance,
+                FailureDomain domain,
+                InetSocketAddress peers,
+                long leaseMs,
+                Consumer<String> answer) {}
 
         @Override
         public void renew(Consumer<Boolean> answer) {}
@@ -163,7 +169,8 @@
     private static ControlEvent[] peers(int count) {
         ControlEvent[] instances = new ControlEvent[count];
         for (int i = 0; i < count; i++) {
-            ControlEntry peer = new ControlEntry.Peer(InstanceId.of("i" + i), new InetSocketAddress("127.0.0.1", 1));
+            ControlEntry peer = new ControlEntry.Peer(
+                    InstanceId.of("i" + i), new InetSocketAddress("127.0.0.1", 1), Optional.empty());
             instances[i] = new ControlEvent.Written("i" + i, 1, peer);
         }
         return instances;
--- a/src/test/java/org/jujuberouter/dispatch/InstanceGroupsTest.java
+++ b/src/test/java/org/jujuberouter/dispatch/InstanceGroupsTest.java
@@ -5,6 +5,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -57,6 +59,56 @@
         assertTrue(moved <= 8, moved + " of 77 keys moved");
     }
 
+    private static Map<String, FailureDomain> inDomains(List<String> names, int domains) {
+        Map<String, FailureDomain> result = new HashMap<>();
+        // The domains differ in size: the last one has twice as many keys as each of the others.
+        names.forEach(n -> result.put(
+                n, FailureDomain.of("z" + Math.min(domains - 1, Integer.parseInt(n.substring(1)) % (domains + 1)))));
+        return result;
+    }
+
+    /** A group without engines of a domain would send all calls of its instances there to other domains. */
+    @Test
+    void givesEachGroupItsShareOfEachDomain() {
+        for (int keys : new int[] {31, 71, 95, 195}) {
+            for (int domains = 3; domains <= 5; domains++) {
+                Map<String, FailureDomain> all = inDomains(names(keys), domains);
+                Map<String, Integer> assigned = InstanceGroups.assignByDomain("salt", all, 4);
+                assertEquals(keys, assigned.size());
+                Map<FailureDomain, int[]> sizes = new HashMap<>();
+                FailureDomain total = FailureDomain.of("all");
+                assigned.forEach((key, group) -> {
+                    sizes.computeIfAbsent(all.get(key), _ -> new int[4])[group]++;
+                    sizes.computeIfAbsent(total, _ -> new int[4])[group]++;
+                });
+                sizes.forEach((domain, s) -> assertTrue(
+                        IntStream.of(s).max().orElseThrow()
+                                        - IntStream.of(s).min().orElseThrow()
+                                <= 1,
+                        keys + " keys, " + domain + ": " + Arrays.toString(s)));
+            }
+        }
+    }
+
+    /** Each change of the list would otherwise move many instances, which then relearn the work in their group. */
+    @Test
+    void movesFewKeysBetweenSlicesWhenOneIsRemoved() {
+        int worst = 0;
+        int moves = 0;
+        for (int removed = 0; removed < 95; removed++) {
+            List<String> rest = new ArrayList<>(names(95));
+            rest.remove(removed);
+            Map<String, Integer> before = InstanceGroups.assignByDomain("salt", inDomains(names(95), 5), 4);
+            Map<String, Integer> after = InstanceGroups.assignByDomain("salt", inDomains(rest, 5), 4);
+            int moved = (int) after.entrySet().stream()
+                    .filter(e -> !before.get(e.getKey()).equals(e.getValue()))
+                    .count();
+            worst = Math.max(worst, moved);
+            moves += moved;
+        }
+        assertTrue(worst <= 12 && moves <= 95 * 5, "moves on average " + moves / 95.0 + ", at most " + worst);
+    }
+
     @Test
     void assignsEachEngineToExactlyOneGroup() {
         ServiceName service = ServiceName.of("assistant");
--- a/src/test/java/org/jujuberouter/gateway/StoreProofSimulationTest.java
+++ b/src/test/java/org/jujuberouter/gateway/StoreProofSimulationTest.java
@@ -306,7 +306,12 @@
         public void onUnavailable(String reason) {}
 
         @Override
-        public void register(InstanceId id, InetSocketAddress peers, long leaseMs, Consumer<String> listener) {}
+        public void register(
+                InstanceId id,
+                FailureDomain domain,
+                InetSocketAddress peers,
+                long leaseMs,
+                Consumer<String> listener) {}
 
         @Override
         public void renew(Consumer<Boolean> listener) {}
--- a/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
+++ b/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
@@ -6,15 +6,18 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import org.jujuberouter.catalog.ApiKeys;
 import org.jujuberouter.catalog.Catalog;
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.catalog.RetryPolicy;
 import org.jujuberouter.control.ControlEntry;
+import org.jujuberouter.id.FailureDomain;
 import org.junit.jupiter.api.Test;
 
 /** Guards against misread values of the store and against invalid values written by other programs. */
@@ -41,6 +44,18 @@
         assertEquals(1_700_000_000_000L, e.startedAtMs());
     }
 
+    /** Instances would compute different groups if a registration lost its domain; those of older builds have none. */
+    @Test
+    void decodesRegistrationsOfInstancesWithAndWithoutADomain() {
+        String own = new String(
+                KvValueCodec.encodePeer(new InetSocketAddress("10.128.0.9", 7000), FailureDomain.of("north")),
+                StandardCharsets.UTF_8);
+        ControlEntry.Peer peer = assertInstanceOf(ControlEntry.Peer.class, decode("instances/a", own));
+        assertEquals(Optional.of(FailureDomain.of("north")), peer.domain());
+        ControlEntry older = decode("instances/a", "{\"peers\":\"10.128.0.9:7000\"}");
+        assertEquals(new ControlEntry.Peer(peer.instance(), peer.address(), Optional.empty()), older);
+    }
+
     @Test
     void reportsInvalidRegistrationsAsUnreadable() {
         assertUnreadable("");
