Prefer engines of the instance's own failure domain

A call leaves when the loss predicted at home exceeds the cost of leaving: the round trip, the bytes and the headroom of the other domain. A domain whose endpoints cannot be reached is avoided as a whole.

--- a/src/main/java/org/jujuberouter/catalog/EngineCostModel.java
+++ b/src/main/java/org/jujuberouter/catalog/EngineCostModel.java
@@ -18,6 +18,7 @@
  * @param attentionMsPerMillionPairs attention time for a million pairs of a prompt token and an earlier one, in
  *     milliseconds
  * @param prefillChunkTokens maximum number of prompt tokens prefilled in a step
+ * @param network the network between the failure domains in which the engines run
  */
 public record EngineCostModel(
         int slots,
@@ -28,7 +29,32 @@
         double contextMsPerThousandTokens,
         double prefillTokensPerMs,
         double attentionMsPerMillionPairs,
-        long prefillChunkTokens) {
+        long prefillChunkTokens,
+        DomainNetwork network) {
+    /** Creates a cost model of engines between whose domains no delays are known. */
+    public EngineCostModel(
+            int slots,
+            long kvCapacityTokens,
+            int decodeStepsPerIteration,
+            double stepMs,
+            double perSequenceMs,
+            double contextMsPerThousandTokens,
+            double prefillTokensPerMs,
+            double attentionMsPerMillionPairs,
+            long prefillChunkTokens) {
+        this(
+                slots,
+                kvCapacityTokens,
+                decodeStepsPerIteration,
+                stepMs,
+                perSequenceMs,
+                contextMsPerThousandTokens,
+                prefillTokensPerMs,
+                attentionMsPerMillionPairs,
+                prefillChunkTokens,
+                DomainNetwork.unknown());
+    }
+
     /** Returns the time that a single engine needs to prefill a prompt, in milliseconds. */
     public double prefillMs(long promptTokens) {
         double pairs = (double) promptTokens * promptTokens / 2;
--- a/src/main/java/org/jujuberouter/cli/ServeCommand.java
+++ b/src/main/java/org/jujuberouter/cli/ServeCommand.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import org.jujuberouter.dispatch.DomainMode;
 import org.jujuberouter.gateway.GatewayDaemon;
 import org.jujuberouter.gateway.GatewayOptions;
 import org.jujuberouter.platform.HttpPlatformAdapter;
@@ -26,6 +27,9 @@
 public final class ServeCommand implements Callable<Integer> {
     static final String NAME = "serve";
 
+    /** Environment variable that holds the mode of placement across failure domains: auto, home or any. */
+    private static final String DOMAINS_VARIABLE = "JUJUBEROUTER_DOMAINS";
+
     private static final String METRICS_PORT_VARIABLE = "JUJUBEROUTER_METRICS_PORT";
     private static final int MAX_PORT = 65_535;
     private static final System.Logger LOG = System.getLogger(ServeCommand.class.getName());
@@ -65,7 +69,7 @@
                 : Path.of(System.getenv().getOrDefault(NodeFile.PATH_VARIABLE, NodeFile.DEFAULT_PATH));
         GatewayOptions options;
         try {
-            options = applyMetricsPort(NodeFile.read(file));
+            options = applyEnvironment(NodeFile.read(file));
         } catch (IOException e) {
             System.err.println("cannot read the settings: " + e.getMessage());
             return 1;
@@ -77,6 +81,7 @@
                 Map.entry("callers", options.callers()),
                 Map.entry("metrics", options.metrics().map(Object::toString).orElse("none")),
                 Map.entry("store", options.store()),
+                Map.entry("domains", options.domainMode()),
                 Map.entry("bounds", options.bounds()));
         // Signals may arrive as soon as callers can connect, so the handlers are installed first.
         SighupHandler.setAction(() -> rereadSettings(file, options));
@@ -102,6 +107,15 @@
         return 0;
     }
 
+    private GatewayOptions applyEnvironment(GatewayOptions nodeOptions) throws IOException {
+        try {
+            DomainMode mode = DomainMode.of(System.getenv().getOrDefault(DOMAINS_VARIABLE, "auto"));
+            return applyMetricsPort(nodeOptions.withDomainMode(mode));
+        } catch (IllegalArgumentException e) {
+            throw new IOException(DOMAINS_VARIABLE + ": " + e.getMessage(), e);
+        }
+    }
+
     private GatewayOptions applyMetricsPort(GatewayOptions nodeOptions) throws IOException {
         String text = metricsPort != null ? metricsPort : System.getenv().getOrDefault(METRICS_PORT_VARIABLE, "0");
         if (!text.matches("[0-9]{1,5}") || Integer.parseInt(text) > MAX_PORT) {
@@ -114,7 +128,7 @@
     /** Reads and checks the settings file again; changed addresses and bounds take effect only at the next start. */
     private void rereadSettings(Path file, GatewayOptions activeOptions) {
         try {
-            boolean changed = !applyMetricsPort(NodeFile.read(file)).equals(activeOptions);
+            boolean changed = !applyEnvironment(NodeFile.read(file)).equals(activeOptions);
             LOG.log(
                     System.Logger.Level.INFO,
                     "[state] settings read again, in force from the next start",
--- a/src/main/java/org/jujuberouter/dispatch/CallRequirements.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallRequirements.java
@@ -15,6 +15,7 @@
  * @param objectiveMs objective for the time to the answer or to its first event, in milliseconds
  * @param gapObjectiveMs objective for the gap between two events, in milliseconds; 0 if the answer is not a stream
  * @param callerTimeoutMs time after which a caller without an answer or a first event disconnects, in milliseconds
+ * @param requestBytes size of the request body, in bytes; 0 if unknown
  */
 public record CallRequirements(
         RequestId id,
@@ -23,7 +24,8 @@
         long outputTokens,
         long objectiveMs,
         long gapObjectiveMs,
-        long callerTimeoutMs) {
+        long callerTimeoutMs,
+        long requestBytes) {
     /** Prompt tokens that add the value of one short call. */
     private static final double TOKENS_PER_UNIT_OF_VALUE = 13_000;
 
@@ -36,6 +38,18 @@
     /** Fraction of its value that a late answer keeps. */
     private static final double LATE_VALUE_FRACTION = 0.25;
 
+    /** Creates the requirements of a call whose size is unknown. */
+    public CallRequirements(
+            RequestId id,
+            ServiceName service,
+            long promptTokens,
+            long outputTokens,
+            long objectiveMs,
+            long gapObjectiveMs,
+            long callerTimeoutMs) {
+        this(id, service, promptTokens, outputTokens, objectiveMs, gapObjectiveMs, callerTimeoutMs, 0);
+    }
+
     /** Returns whether the prompt is short; short and long prompts are placed on different engines. */
     boolean isShort() {
         return promptTokens <= MAX_SHORT_PROMPT_TOKENS;
--- a/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.jujuberouter.catalog.EngineCostModel;
 import org.jujuberouter.catalog.ServiceSpec;
+import org.jujuberouter.dispatch.PromptCandidate.RankedEngine;
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.misc.Ticker;
 
@@ -44,18 +45,6 @@
 
     private static final long NO_CAPACITY_RETRY_JITTER_MS = 800;
 
-    /**
-     * Time for which late calls leave a freed slot to calls that can still be on time. Within it every instance has
-     * learned of the slot and has tried its queued calls.
-     */
-    private static final double LATE_CALL_YIELD_MS = 30;
-
-    /** Number of free slots from which on late calls need not yield. */
-    private static final int MIN_FREE_SLOTS_WITHOUT_YIELD = 3;
-
-    /** Fraction of an engine's KV cache that may be planned; an engine that runs out preempts its newest call. */
-    private static final double USABLE_MEMORY_FRACTION = 0.94;
-
     /** Typical duration of a short stream, after which the streams of an engine have been replaced by others. */
     private static final double TYPICAL_STREAM_MS = 1_500;
 
@@ -103,70 +92,24 @@
 
     private final EndpointRegistry registry;
     private final Ticker ticker;
+    private final DomainPolicy domains;
     private final long startedAt;
 
-    private CallScheduler(EndpointRegistry registry, Ticker ticker) {
+    private CallScheduler(EndpointRegistry registry, Ticker ticker, DomainPolicy domains) {
         this.registry = registry;
+        this.domains = domains;
         this.ticker = ticker;
         this.startedAt = ticker.nanos();
     }
 
-    /** Returns a scheduler that places calls on the endpoints of the registry. */
+    /** Returns a scheduler that places calls on the endpoints of the registry, without regard to failure domains. */
     public static CallScheduler on(EndpointRegistry registry, Ticker ticker) {
-        return new CallScheduler(registry, ticker);
-    }
-
-    /**
-     * A possible placement of a prompt.
-     *
-     * @param split how the prompt is split
-     * @param engines the engines; the first one answers the call
-     * @param harmToOthers value lost by other calls that would become late, including calls expected to arrive
-     * @param ownCost value lost by the call itself if it would be late
-     * @param firstEventMs predicted time to the first event, in milliseconds
-     */
-    private record Candidate(
-            PromptSplit split,
-            List<TrackedEndpoint> engines,
-            double harmToOthers,
-            double ownCost,
-            double firstEventMs) {
-        private double cost() {
-            return harmToOthers + ownCost;
-        }
-
-        private boolean isLate() {
-            return ownCost > 0;
-        }
-    }
-
-    /**
-     * The resources that each engine needs for a prompt that is split into equal parts.
-     *
-     * @param parts number of engines that prefill a part
-     * @param prefillMs time to prefill one part, in milliseconds
-     * @param responderTokens KV cache needed on the engine that answers, in tokens
-     * @param helperTokens KV cache needed on each helper, in tokens
-     * @param reserved whether memory is reserved on each engine, because the prompt is too large for a single one
-     */
-    private record PromptSplit(int parts, double prefillMs, long responderTokens, long helperTokens, boolean reserved) {
-        private static PromptSplit of(CallRequirements requirements, EngineCostModel engine, int parts) {
-            double prefillMs = engine.prefillMs(requirements.promptTokens()) / parts;
-            long tokens = requirements.promptTokens() + requirements.outputTokens();
-            long tokensPerEngine = tokens / parts + 1;
-            return tokens > usableTokens(engine)
-                    ? new PromptSplit(parts, prefillMs, tokensPerEngine, tokensPerEngine, true)
-                    : new PromptSplit(parts, prefillMs, tokens, 0, false);
-        }
-
-        /** Returns the KV cache that an engine needs at least to take a part, in tokens. */
-        private long minTokens() {
-            return parts == 1 ? responderTokens : helperTokens;
-        }
+        return on(registry, ticker, DomainPolicy.ignoringDomains());
     }
 
-    private static long usableTokens(EngineCostModel engine) {
-        return (long) (engine.kvCapacityTokens() * USABLE_MEMORY_FRACTION);
+    /** Returns a scheduler that places calls on the endpoints of the registry. */
+    public static CallScheduler on(EndpointRegistry registry, Ticker ticker, DomainPolicy domains) {
+        return new CallScheduler(registry, ticker, domains);
     }
 
     /**
@@ -182,60 +125,36 @@
         long now = ticker.nanos();
         boolean waitExhausted = waitedMs > requirements.callerTimeoutMs() * MAX_WAIT_FRACTION;
         boolean yields = !requirements.canBeOnTime(waitedMs) && !waitExhausted;
-        boolean anyUsable = false;
-        List<TrackedEndpoint> available = new ArrayList<>();
-        List<TrackedEndpoint> healthy = new ArrayList<>();
-        for (TrackedEndpoint e : registry.usable(requirements.service())) {
-            if (tried.contains(e.registration().id())) {
-                continue;
-            }
-            anyUsable = true;
-            if (e.isFull(now)
-                    || e.isColdLimitReached(service.coldCallsPerSecond(), now)
-                    || yields && yieldsFreedSlot(e, now)) {
-                continue;
-            }
-            available.add(e);
-            if (!e.isBackedOff(now)) {
-                healthy.add(e);
-            }
-        }
-        if (!anyUsable) {
+        EligibleEndpoints eligible = EligibleEndpoints.of(
+                registry.usable(requirements.service()), tried, domains, service.coldCallsPerSecond(), yields, now);
+        if (eligible.isNoneUsable()) {
             return new PlacementDecision.Refuse(
                     "no usable endpoint of " + requirements.service(), NO_ENDPOINT_RETRY_MS);
         }
-        // If all endpoints have failed recently, trying one of them is more promising than waiting.
-        List<TrackedEndpoint> candidates = healthy.isEmpty() ? available : healthy;
         PlacementDecision decision = service.engine().isPresent() && requirements.promptTokens() > 0
-                ? placePrompt(requirements, service.engine().get(), candidates, waitedMs, now)
-                : placePlain(requirements, candidates, now);
+                ? placePrompt(requirements, service.engine().get(), eligible, waitedMs, now)
+                : placePlain(requirements, eligible);
         if (decision instanceof PlacementDecision.Wait && waitExhausted) {
             long jitterMs = Math.floorMod(requirements.id().hashCode(), NO_CAPACITY_RETRY_JITTER_MS);
             return new PlacementDecision.Refuse("no place in time", NO_CAPACITY_RETRY_MS + jitterMs);
         }
+        if (decision instanceof PlacementDecision.Send send) {
+            send.endpoint().domain().recordPlaced(now);
+        }
         return decision;
     }
 
-    /**
-     * Returns whether a late call leaves the free slot of an endpoint to calls that can still be on time.
-     *
-     * <p>Each instance has its own queue. In an overload, a late call of one instance would take a slot for which a
-     * call of another instance waits that is not late yet. Most calls would then be late, as with first-come,
-     * first-served order.
-     */
-    private static boolean yieldsFreedSlot(TrackedEndpoint e, long now) {
-        return e.load().slotsUsed() > e.registration().slots() - MIN_FREE_SLOTS_WITHOUT_YIELD
-                && e.load().slotFreedWithin(LATE_CALL_YIELD_MS, now);
-    }
-
-    private PlacementDecision placePlain(CallRequirements requirements, List<TrackedEndpoint> candidates, long now) {
+    private PlacementDecision placePlain(CallRequirements requirements, EligibleEndpoints eligible) {
+        List<TrackedEndpoint> candidates = eligible.candidates();
         Optional<TrackedEndpoint> best = candidates.stream()
                 .filter(e -> e.load().slotsUsed() < e.registration().slots())
-                .min(Comparator.comparingDouble(e -> (e.load().slotsUsed() + 1)
-                        / (double) e.registration().slots()
-                        / Math.pow(1.01 - e.failureRate(), 3)));
+                .min(Comparator.comparingDouble(e -> domains.plainLoadMargin(e)
+                        + (e.load().slotsUsed() + 1)
+                                / (double) e.registration().slots()
+                                / Math.pow(1.01 - e.failureRate(), 3)));
         if (best.isEmpty()) {
-            return new PlacementDecision.Wait(candidates.isEmpty() ? "all endpoints are full or cold" : "no free slot");
+            return new PlacementDecision.Wait(
+                    candidates.isEmpty() ? "all endpoints are full or cold" : "no free slot", eligible.whyNotAway());
         }
         TrackedEndpoint e = best.get();
         Allocation allocation = new Allocation(
@@ -247,44 +166,112 @@
                 requirements.objectiveMs(),
                 0,
                 requirements.onTimeGain());
-        return new PlacementDecision.Send(e, List.of(), List.of(allocation), 0, 0, 0);
+        boolean homeHadRoom = candidates.stream()
+                .anyMatch(c -> domains.isHome(c.domain())
+                        && c.load().slotsUsed() < c.registration().slots());
+        AwayReason away = awayReason(e, homeHadRoom ? AwayReason.HOME_LATE : eligible.homeState());
+        return new PlacementDecision.Send(e, List.of(), List.of(allocation), 0, 0, 0, away);
+    }
+
+    private AwayReason awayReason(TrackedEndpoint responder, AwayReason homeState) {
+        return domains.prefersHome() && !domains.isHome(responder.domain()) ? homeState : AwayReason.NONE;
     }
 
     private PlacementDecision placePrompt(
             CallRequirements requirements,
             EngineCostModel engine,
-            List<TrackedEndpoint> candidates,
+            EligibleEndpoints eligible,
             double waitedMs,
             long now) {
-        double prefillMs = engine.prefillMs(requirements.promptTokens());
-        Candidate best = null;
+        List<TrackedEndpoint> candidates = eligible.candidates();
+        PromptSearch search = new PromptSearch(requirements, engine, candidates, waitedMs, now);
+        PromptCandidate atHome = null;
+        List<TrackedEndpoint> home = domains.prefersHome() ? ofHome(candidates) : List.of();
+        boolean weighed = domains.prefersHome() && home.size() < candidates.size();
+        if (weighed && !home.isEmpty()) {
+            // In proportion to the home engines: the instances of the other domains prefer their own ones.
+            double share = home.size() / (double) candidates.size();
+            atHome = best(search, home, Math.max(1, (int) Math.round(spreadWidth(now) * share)), true);
+        }
+        PromptCandidate best = atHome;
+        // A place that costs no more than a hop cannot be improved by leaving.
+        if (atHome == null || atHome.totalCost() > DomainPolicy.hopCost(requirements, engine.network())) {
+            if (weighed) {
+                domains.computeLeaveCosts(requirements, engine.network(), candidates, now);
+            }
+            best = best(search, candidates, spreadWidth(now), weighed);
+        }
+        if (best == null) {
+            return new PlacementDecision.Wait(
+                    candidates.isEmpty() ? "all engines are full or cold" : "no engine with a slot and memory",
+                    eligible.whyNotAway());
+        }
+        double idleFirstEventMs = engine.prefillMs(requirements.promptTokens())
+                + engine.decodeIterationMs(1, requirements.promptTokens());
+        return shouldSend(requirements, best, waitedMs, idleFirstEventMs)
+                ? send(
+                        requirements,
+                        best,
+                        awayReason(
+                                best.engines().getFirst(),
+                                atHome == null ? eligible.homeState() : AwayReason.HOME_LATE))
+                : new PlacementDecision.Wait(
+                        "every place would make calls late, of the weight " + Math.round(best.cost()),
+                        eligible.whyNotAway());
+    }
+
+    private List<TrackedEndpoint> ofHome(List<TrackedEndpoint> candidates) {
+        List<TrackedEndpoint> home = new ArrayList<>();
+        for (TrackedEndpoint e : candidates) {
+            if (domains.isHome(e.domain())) {
+                home.add(e);
+            }
+        }
+        return home;
+    }
+
+    /**
+     * A search for a place of a prompt.
+     *
+     * @param candidates all engines that may be used, also outside the domain
+     */
+    private record PromptSearch(
+            CallRequirements requirements,
+            EngineCostModel engine,
+            List<TrackedEndpoint> candidates,
+            double waitedMs,
+            long now) {}
+
+    /**
+     * Returns the best candidate on the given engines, over all numbers of parts, or null if there is none.
+     *
+     * @param weighed whether places in several domains are weighed against each other
+     */
+    private PromptCandidate best(PromptSearch search, List<TrackedEndpoint> engines, int spreadWidth, boolean weighed) {
+        CallRequirements requirements = search.requirements;
+        double prefillMs = search.engine.prefillMs(requirements.promptTokens());
+        PromptCandidate best = null;
         for (int parts : PART_COUNTS) {
             if (parts > 1 && prefillMs / parts < MIN_PART_MS) {
                 break;
             }
-            Candidate candidate = bestCandidate(
-                    requirements, engine, candidates, PromptSplit.of(requirements, engine, parts), waitedMs, now);
+            PromptSplit split = PromptSplit.of(requirements, search.engine, parts);
+            PromptCandidate candidate = bestCandidate(search, engines, split, spreadWidth, weighed);
             if (candidate == null) {
                 continue;
             }
             if (best == null
-                    || candidate.cost() < best.cost() - 1e-9
-                    || candidate.cost() < best.cost() + 1e-9 && candidate.firstEventMs < best.firstEventMs * 0.8) {
+                    || candidate.totalCost() < best.totalCost() - 1e-9
+                    || candidate.totalCost() < best.totalCost() + 1e-9
+                            && candidate.firstEventMs() < best.firstEventMs() * 0.8) {
                 best = candidate;
             }
-            if (candidate.cost() == 0 && candidate.firstEventMs <= requirements.objectiveMs() * EARLY_ENOUGH_FRACTION) {
+            if (candidate.cost() == 0
+                    && candidate.firstEventMs() <= requirements.objectiveMs() * EARLY_ENOUGH_FRACTION) {
                 break;
             }
         }
-        if (best == null) {
-            return new PlacementDecision.Wait(
-                    candidates.isEmpty() ? "all engines are full or cold" : "no engine with a slot and memory");
-        }
-        double idleFirstEventMs = prefillMs + engine.decodeIterationMs(1, requirements.promptTokens());
-        return shouldSend(requirements, best, waitedMs, idleFirstEventMs)
-                ? send(requirements, best)
-                : new PlacementDecision.Wait(
-                        "every place would make calls late, of the weight " + Math.round(best.cost()));
+        return best;
     }
 
     /**
@@ -295,66 +282,78 @@
      * makes calls late that would be on time only if the value of its late answer exceeds theirs.
      */
     private static boolean shouldSend(
-            CallRequirements requirements, Candidate best, double waitedMs, double idleFirstEventMs) {
+            CallRequirements requirements, PromptCandidate best, double waitedMs, double idleFirstEventMs) {
         double usableMs = requirements.objectiveMs() * USABLE_OBJECTIVE_FRACTION - waitedMs - RETRY_INTERVAL_MS;
         if (best.isLate()) {
             boolean improvesByWaiting = idleFirstEventMs < usableMs;
-            return !improvesByWaiting && best.harmToOthers < requirements.lateValue();
+            return !improvesByWaiting && best.harmToOthers() < requirements.lateValue();
         }
-        boolean canWait = best.firstEventMs < usableMs;
-        return best.harmToOthers == 0 || !canWait && best.harmToOthers < requirements.onTimeGain();
+        boolean canWait = best.firstEventMs() < usableMs;
+        return best.harmToOthers() == 0 || !canWait && best.harmToOthers() < requirements.onTimeGain();
     }
 
     /** Returns the best candidate for the given split of the prompt, or null if there is none. */
-    private Candidate bestCandidate(
-            CallRequirements requirements,
-            EngineCostModel engine,
-            List<TrackedEndpoint> candidates,
-            PromptSplit split,
-            double waitedMs,
-            long now) {
-        double prefillMs = split.prefillMs;
-        long usableTokens = usableTokens(engine);
+    private PromptCandidate bestCandidate(
+            PromptSearch search, List<TrackedEndpoint> engines, PromptSplit split, int spreadWidth, boolean weighed) {
+        CallRequirements requirements = search.requirements;
+        EngineCostModel engine = search.engine;
+        long now = search.now;
+        double prefillMs = split.prefillMs();
+        long usableTokens = PromptSplit.usableTokens(engine);
         boolean shortPrompt = requirements.isShort();
-        List<RankedEndpoint> ranked = new ArrayList<>();
-        for (int i = 0; i < candidates.size(); i++) {
-            TrackedEndpoint e = candidates.get(i);
+        List<RankedEngine> ranked = new ArrayList<>();
+        for (int i = 0; i < engines.size(); i++) {
+            TrackedEndpoint e = engines.get(i);
             EndpointLoad load = e.load();
             if (load.memoryTokens() + split.minTokens() > usableTokens
                     || load.helperParts() >= e.registration().slots()) {
                 continue;
             }
             double iterationMs = load.iterationMs(engine, prefillMs, now);
-            double firstEventMs = load.firstEventMs(engine, prefillMs, now) + e.expectedDelayMs(now);
+            boolean away = weighed && !domains.isHome(e.domain());
+            double firstEventMs = load.firstEventMs(engine, prefillMs, now)
+                    + e.expectedDelayMs(now)
+                    + (away ? domains.roundTripMs(e) : 0);
             // Streams that arrive during a long prefill are delayed like those that are already running.
             double harmToOthers =
                     load.gapViolationCost(iterationMs, USABLE_GAP_FRACTION) * (1 + prefillMs / TYPICAL_STREAM_MS);
-            if (split.parts > 1) {
+            if (split.parts() > 1) {
                 // Two prompts that are split at the same moment use mostly the same engines.
                 harmToOthers = Math.max(harmToOthers, load.gapViolationCost(iterationMs + prefillMs, 1));
                 harmToOthers += load.prefillDelayCost(engine, prefillMs, now);
             }
-            double ownCost = waitedMs + firstEventMs > requirements.objectiveMs() * USABLE_OBJECTIVE_FRACTION
+            double ownCost = search.waitedMs + firstEventMs > requirements.objectiveMs() * USABLE_OBJECTIVE_FRACTION
                     ? requirements.onTimeGain()
                     : 0;
             boolean hasFreeSlot = load.slotsUsed() < e.registration().slots();
-            int position = shortPrompt ? i : candidates.size() - i;
+            int position = shortPrompt ? i : engines.size() - i;
             // Less crowded engines go first, so that calls placed at the same moment do not fill up a single engine.
             double crowding = shortPrompt
                     ? Math.floor(load.slotsUsed() / (e.registration().slots() * CROWDING_STEP_FRACTION))
                     : load.prefillRemainingMs(now);
-            ranked.add(new RankedEndpoint(e, harmToOthers, ownCost, firstEventMs, crowding, hasFreeSlot, position));
+            ranked.add(new RankedEngine(
+                    e,
+                    harmToOthers,
+                    ownCost,
+                    away ? domains.leaveCost(e) : 0,
+                    weighed ? DomainPolicy.riskCost(requirements, search.waitedMs + firstEventMs, crowding) : 0,
+                    firstEventMs,
+                    crowding,
+                    hasFreeSlot,
+                    position));
         }
-        ranked.sort(Comparator.comparingDouble(RankedEndpoint::cost)
-                .thenComparingDouble(RankedEndpoint::crowding)
-                .thenComparingInt(RankedEndpoint::position));
-        Candidate chosen = choose(requirements, ranked, split, usableTokens, spreadWidth(now));
-        if (chosen == null || prefillMs <= MAX_FREE_PREFILL_MS) {
-            return chosen;
-        }
-        double missing = missingFreeEngines(candidates, chosen.engines, now);
-        double harmToOthers = chosen.harmToOthers + missing * MISSING_FREE_ENGINE_COST;
-        return new Candidate(split, chosen.engines, harmToOthers, chosen.ownCost, chosen.firstEventMs);
+        ranked.sort(RankedEngine.BEST_FIRST);
+        PromptCandidate chosen = PromptCandidate.choose(requirements, ranked, split, usableTokens, spreadWidth);
+        return chosen == null || prefillMs <= MAX_FREE_PREFILL_MS
+                ? chosen
+                : chosen.withMoreHarm(
+                        missingFreeEngines(search.candidates, chosen.engines(), now) * MISSING_FREE_ENGINE_COST);
+    }
+
+    /** Returns whether an engine has room for a burst of short prompts. */
+    static boolean isFree(TrackedEndpoint e, long now) {
+        return e.load().prefillRemainingMs(now) <= MAX_FREE_PREFILL_MS
+                && e.load().slotsUsed() < e.registration().slots() * CROWDING_STEP_FRACTION;
     }
 
     /** Returns the number of engines that would be missing from the headroom for short prompts. */
@@ -365,81 +364,34 @@
         return Math.max(0, Math.ceil(candidates.size() * FREE_ENGINE_FRACTION) - free);
     }
 
-    private record RankedEndpoint(
-            TrackedEndpoint endpoint,
-            double harmToOthers,
-            double ownCost,
-            double firstEventMs,
-            double crowding,
-            boolean hasFreeSlot,
-            int position) {
-        private double cost() {
-            return harmToOthers + ownCost;
-        }
-    }
-
     /** Returns the number of equally good engines over which calls are spread. */
     private int spreadWidth(long now) {
         return (now - startedAt) / 1e6 < PEER_DISCOVERY_MS ? SPREAD_WIDTH_AFTER_START : SPREAD_WIDTH;
     }
 
-    private static Candidate choose(
-            CallRequirements requirements,
-            List<RankedEndpoint> ranked,
-            PromptSplit split,
-            long usableTokens,
-            int spreadWidth) {
-        List<RankedEndpoint> available = ranked.stream()
-                .filter(r -> r.hasFreeSlot && r.endpoint.load().memoryTokens() + split.responderTokens <= usableTokens)
-                .toList();
-        if (available.isEmpty() || ranked.size() < split.parts) {
-            return null;
-        }
-        RankedEndpoint best = available.getFirst();
-        List<RankedEndpoint> tied = available.stream()
-                .filter(r -> r.cost() <= best.cost() && r.crowding <= best.crowding)
-                .limit(spreadWidth)
-                .toList();
-        RankedEndpoint first = tied.get(Math.floorMod(requirements.id().hashCode(), tied.size()));
-        List<TrackedEndpoint> chosen = new ArrayList<>();
-        chosen.add(first.endpoint);
-        double harmToOthers = first.harmToOthers;
-        double ownCost = first.ownCost;
-        double firstEventMs = first.firstEventMs;
-        for (int i = 0; i < ranked.size() && chosen.size() < split.parts; i++) {
-            RankedEndpoint r = ranked.get(i);
-            if (r != first) {
-                chosen.add(r.endpoint);
-                harmToOthers += r.harmToOthers;
-                ownCost = Math.max(ownCost, r.ownCost);
-                firstEventMs = Math.max(firstEventMs, r.firstEventMs);
-            }
-        }
-        return new Candidate(split, chosen, harmToOthers, ownCost, firstEventMs);
-    }
-
-    private static PlacementDecision send(CallRequirements requirements, Candidate candidate) {
-        PromptSplit split = candidate.split;
+    private static PlacementDecision send(CallRequirements requirements, PromptCandidate candidate, AwayReason away) {
+        PromptSplit split = candidate.split();
         List<Allocation> allocations = new ArrayList<>();
-        for (TrackedEndpoint e : candidate.engines) {
+        for (TrackedEndpoint e : candidate.engines()) {
             boolean first = allocations.isEmpty();
             allocations.add(new Allocation(
                     requirements.id(),
                     e.registration().id(),
                     first,
-                    split.prefillMs,
-                    first ? split.responderTokens : split.helperTokens,
+                    split.prefillMs(),
+                    first ? split.responderTokens() : split.helperTokens(),
                     requirements.objectiveMs(),
                     first ? requirements.gapObjectiveMs() : 0,
                     // A call that is late anyway loses no value through longer gaps.
                     candidate.isLate() ? 0 : requirements.onTimeGain()));
         }
         return new PlacementDecision.Send(
-                candidate.engines.getFirst(),
-                candidate.engines.subList(1, candidate.engines.size()),
+                candidate.engines().getFirst(),
+                candidate.engines().subList(1, candidate.engines().size()),
                 allocations,
-                split.reserved ? split.responderTokens : 0,
-                candidate.firstEventMs,
-                candidate.cost());
+                split.reserved() ? split.responderTokens() : 0,
+                candidate.firstEventMs(),
+                candidate.cost(),
+                away);
     }
 }
--- a/src/main/java/org/jujuberouter/dispatch/EndpointRegistry.java
+++ b/src/main/java/org/jujuberouter/dispatch/EndpointRegistry.java
@@ -27,9 +27,11 @@
     private final Ticker ticker;
     private final Map<EndpointId, TrackedEndpoint> endpoints = new HashMap<>();
     private final Map<ServiceName, List<TrackedEndpoint>> orderedByService = new HashMap<>();
+    private final Map<FailureDomain, TrackedDomain> domains = new HashMap<>();
     private final Set<FailureDomain> evacuated = new HashSet<>();
     private int group;
     private int groups = 1;
+    private boolean groupsByDomain = true;
     private long orderings;
     private final Map<RequestId, List<EndpointId>> endpointsByRequest = new LinkedHashMap<>();
 
@@ -44,15 +46,17 @@
 
     /** Adds or updates a registration; a new run under the same id starts without load and history. */
     public void register(Endpoint endpoint) {
+        TrackedDomain domain = domains.computeIfAbsent(endpoint.domain(), d -> new TrackedDomain(d, domains.size()));
         TrackedEndpoint known = endpoints.get(endpoint.id());
         if (known != null && known.registration().isSameRun(endpoint)) {
-            boolean sameService = known.registration().service().equals(endpoint.service());
-            known.update(endpoint, ticker.nanos());
-            if (sameService) {
+            boolean sameGroup = known.registration().service().equals(endpoint.service())
+                    && known.registration().domain().equals(endpoint.domain());
+            known.update(endpoint, domain, ticker.nanos());
+            if (sameGroup) {
                 return;
             }
         } else {
-            endpoints.put(endpoint.id(), new TrackedEndpoint(endpoint, ticker.nanos()));
+            endpoints.put(endpoint.id(), new TrackedEndpoint(endpoint, domain, ticker.nanos()));
         }
         orderedByService.clear();
     }
@@ -71,9 +75,19 @@
 
     /** Restricts this instance to the endpoints of its group, for each service that has enough endpoints. */
     public void setGroup(int ownGroup, int groupCount) {
-        if (ownGroup != group || groupCount != groups) {
+        setGroup(ownGroup, groupCount, true);
+    }
+
+    /**
+     * Restricts this instance to the endpoints of its group, for each service that has enough endpoints.
+     *
+     * @param byDomain whether each group has its share of each domain's endpoints
+     */
+    public void setGroup(int ownGroup, int groupCount, boolean byDomain) {
+        if (ownGroup != group || groupCount != groups || byDomain != groupsByDomain) {
             group = ownGroup;
             groups = groupCount;
+            groupsByDomain = byDomain;
             orderedByService.clear();
         }
     }
@@ -187,12 +201,20 @@
         Map<EndpointId, TrackedEndpoint> all = endpointsOf(service);
         int serviceGroups = InstanceGroups.groupCountForService(groups, all.size());
         if (serviceGroups > 1) {
-            Map<EndpointId, Integer> assigned = InstanceGroups.assign(service.value(), all.keySet(), serviceGroups);
+            Map<EndpointId, Integer> assigned = groupsByDomain
+                    ? InstanceGroups.assignByDomain(service.value(), domainsOf(all), serviceGroups)
+                    : InstanceGroups.assign(service.value(), all.keySet(), serviceGroups);
             all.keySet().removeIf(id -> assigned.get(id) != group);
         }
         return all;
     }
 
+    private static Map<EndpointId, FailureDomain> domainsOf(Map<EndpointId, TrackedEndpoint> endpoints) {
+        Map<EndpointId, FailureDomain> domains = new HashMap<>();
+        endpoints.forEach((id, e) -> domains.put(id, e.registration().domain()));
+        return domains;
+    }
+
     private List<TrackedEndpoint> order(ServiceName service, Map<EndpointId, TrackedEndpoint> candidates) {
         orderings++;
         return RendezvousHash.rank(service.value(), candidates.keySet()).stream()
--- a/src/main/java/org/jujuberouter/dispatch/PlacementDecision.java
+++ b/src/main/java/org/jujuberouter/dispatch/PlacementDecision.java
@@ -15,6 +15,7 @@
      * @param predictedFirstEventMs predicted time to the first event, in milliseconds; 0 if not predicted
      * @param predictedLateCost value of the calls that the placement is expected to make late, in units of a
      *     short call
+     * @param away why the call leaves the failure domain of the instance; {@link AwayReason#NONE} if it does not
      */
     record Send(
             TrackedEndpoint endpoint,
@@ -22,7 +23,8 @@
             List<Allocation> allocations,
             long reservedTokensPerEngine,
             double predictedFirstEventMs,
-            double predictedLateCost)
+            double predictedLateCost,
+            AwayReason away)
             implements PlacementDecision {
         public Send {
             helpers = List.copyOf(helpers);
@@ -34,8 +36,9 @@
      * The call is queued until the state of the endpoints changes.
      *
      * @param reason explanation for the log
+     * @param notAway why the call was not sent to another failure domain; empty if domains are ignored
      */
-    record Wait(String reason) implements PlacementDecision {}
+    record Wait(String reason, String notAway) implements PlacementDecision {}
 
     /**
      * The call is refused.
--- a/src/main/java/org/jujuberouter/dispatch/TrackedEndpoint.java
+++ b/src/main/java/org/jujuberouter/dispatch/TrackedEndpoint.java
@@ -32,6 +32,7 @@
     private final EndpointLoad load = new EndpointLoad();
     private final Deque<Long> coldStarts = new ArrayDeque<>();
     private Endpoint registration;
+    private TrackedDomain domain;
     private long coldUntil;
     private long expiresAt = Long.MAX_VALUE;
     private long backoffUntil = Long.MIN_VALUE;
@@ -41,13 +42,13 @@
     private double expectedDelayMs;
     private long delayRecordedAt;
 
-    TrackedEndpoint(Endpoint endpoint, long now) {
-        this.registration = endpoint;
-        update(endpoint, now);
+    TrackedEndpoint(Endpoint endpoint, TrackedDomain domain, long now) {
+        update(endpoint, domain, now);
     }
 
-    void update(Endpoint newRegistration, long now) {
+    void update(Endpoint newRegistration, TrackedDomain newDomain, long now) {
         registration = newRegistration;
+        domain = newDomain;
         expiresAt = Long.MAX_VALUE;
         coldUntil = now + TimeUnit.MILLISECONDS.toNanos(newRegistration.coldMs());
     }
@@ -61,6 +62,11 @@
         return registration;
     }
 
+    /** Returns the failure domain of the endpoint. */
+    public TrackedDomain domain() {
+        return domain;
+    }
+
     public EndpointLoad load() {
         return load;
     }
--- a/src/main/java/org/jujuberouter/gateway/CallTelemetry.java
+++ b/src/main/java/org/jujuberouter/gateway/CallTelemetry.java
@@ -5,6 +5,7 @@
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.catalog.RequestHead;
 import org.jujuberouter.catalog.Route;
+import org.jujuberouter.dispatch.AwayReason;
 import org.jujuberouter.dispatch.PlacementDecision;
 import org.jujuberouter.error.ExecutionOutcome;
 import org.jujuberouter.http.CallFailure;
@@ -77,21 +78,34 @@
     }
 
     /** Logs that the call is queued, at most once per attempt. */
-    void waiting(String reason, int attempts) {
+    void waiting(PlacementDecision.Wait wait, int attempts) {
         if (waitLoggedForAttempt != attempts) {
             waitLoggedForAttempt = attempts;
-            gateway.log().call("waits", call, Map.entry("reason", reason), Map.entry("tokens", call.promptTokens()));
+            gateway.log()
+                    .call(
+                            "waits",
+                            call,
+                            Map.entry("reason", wait.reason()),
+                            Map.entry("not_away", wait.notAway()),
+                            Map.entry("tokens", call.promptTokens()));
         }
     }
 
     void sent(PlacementDecision.Send placement, boolean reserved, int attempts) {
+        Endpoint endpoint = placement.endpoint().registration();
         gateway.metrics().placed(service, gateway.ticker().nanos() - arrivedNanos);
+        gateway.metrics().placedAcross(gateway.domain(), endpoint.domain(), placement.away());
         gateway.log()
                 .call(
                         "sent",
                         call,
+                        Map.entry("endpoint", endpoint.id()),
+                        Map.entry("domain", endpoint.domain()),
                         Map.entry(
-                                "endpoint", placement.endpoint().registration().id()),
+                                "away",
+                                placement.away() == AwayReason.NONE
+                                        ? ""
+                                        : placement.away().text()),
                         Map.entry(
                                 "helpers",
                                 placement.helpers().stream()
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -116,7 +116,8 @@
                 call.outputTokens(),
                 route.objectiveMs(),
                 route.gapObjectiveMs(),
-                Math.min(waitMs, route.callerTimeoutMs()));
+                Math.min(waitMs, route.callerTimeoutMs()),
+                body.readableBytes());
         traits = CallTraits.of(call, service.name(), customer, head, body);
         if (!endIfQuarantined()) {
             gateway.retries(service.name()).recordRequest();
@@ -180,7 +181,7 @@
         switch (gateway.scheduler().place(requirements, service, triedEndpoints, waitedMs)) {
             case PlacementDecision.Send send -> send(send);
             case PlacementDecision.Wait wait -> {
-                telemetry.waiting(wait.reason(), triedEndpoints.size());
+                telemetry.waiting(wait, triedEndpoints.size());
                 return false;
             }
             case PlacementDecision.Refuse refuse -> refuseOrFail(refuse.reason(), refuse.retryAfterMs());
@@ -281,7 +282,7 @@
      */
     private boolean onSilence(long silenceMs) {
         telemetry.endpointSilent(attempt.endpoint.registration(), silenceMs);
-        gateway.endpointFailed(attempt.endpoint);
+        gateway.endpointSilent(attempt.endpoint);
         if (!route.retryPolicy().isRetryable()) {
             return false;
         }
@@ -359,6 +360,7 @@
 
     /** Decides whether a response is streamed, buffered or replaced by another attempt; returns whether to read it. */
     private boolean onResponseHead(HttpResponse received) {
+        attempt.endpoint.domain().recordReached();
         CallCodec.Answer answer = gateway.codec().read(received);
         if (!answer.id().isEmpty() && !answer.id().equals(call.id().value())) {
             telemetry.logWarning("skipped an answer to another call", Map.entry("other", answer.id()));
@@ -417,6 +419,7 @@
         try {
             if (response.relay(piece)) {
                 attempt.eventBatches++;
+                attempt.endpoint.domain().recordReached();
                 if (attempt.eventBatches == 1) {
                     traits.answered(gateway.crashes());
                 }
@@ -448,6 +451,7 @@
 
     private void onAttemptFailed(CallFailure failure) {
         telemetry.attemptFailed(attempt.endpoint.registration(), failure, attempt.received, attempt.eventBatches);
+        gateway.attemptFailed(attempt.endpoint, failure);
         if (failure.sent()) {
             if (failure.kind() != CallFailure.Kind.MALFORMED && attempt.eventBatches == 0) {
                 gateway.crashes().attemptCut(attempt.endpoint.registration(), traits.suspects(attempt.received));
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -30,11 +30,14 @@
 import org.jujuberouter.dispatch.CallQueue;
 import org.jujuberouter.dispatch.CallRequirements;
 import org.jujuberouter.dispatch.CallScheduler;
+import org.jujuberouter.dispatch.DomainPolicy;
 import org.jujuberouter.dispatch.EndpointRegistry;
 import org.jujuberouter.dispatch.RetryLimiter;
 import org.jujuberouter.dispatch.StopSchedule;
 import org.jujuberouter.dispatch.StoreFreshness;
 import org.jujuberouter.dispatch.TrackedEndpoint;
+import org.jujuberouter.http.CallFailure;
+import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.RequestId;
 import org.jujuberouter.id.ServiceName;
@@ -63,7 +66,7 @@
     private final StoreFreshness storeFreshness;
     private final StoreFreshness viewFreshness;
     private final EndpointRegistry registry = EndpointRegistry.empty(ticker);
-    private final CallScheduler scheduler = CallScheduler.on(registry, ticker);
+    private final CallScheduler scheduler;
     private final long fullSlackAt;
     private final RecentMaximum instanceCount;
     private final Map<ServiceName, RetryLimiter> retries = new HashMap<>();
@@ -85,6 +88,7 @@
         this.loop = loop;
         this.codec = codec;
         this.log = GatewayLog.create();
+        this.scheduler = CallScheduler.on(registry, ticker, DomainPolicy.of(options.domain(), options.domainMode()));
         long slackDelayMs = options.firstStart() ? 0 : options.bounds().retryWindowMs();
         this.fullSlackAt = ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(slackDelayMs);
         this.instanceCount = RecentMaximum.of(ticker, options.bounds().retryWindowMs(), 1);
@@ -279,6 +283,27 @@
         peerLoad.endpointFailed(endpoint.registration().id());
     }
 
+    /** Records the silence of an endpoint, which may mean that its domain is cut off, and reports it to the peers. */
+    void endpointSilent(TrackedEndpoint endpoint) {
+        endpointFailed(endpoint);
+        recordUnreachable(endpoint);
+    }
+
+    /** Records that an endpoint could not be connected to, if that is the failure; its domain may be cut off. */
+    void attemptFailed(TrackedEndpoint endpoint, CallFailure failure) {
+        if (failure.kind() == CallFailure.Kind.CONNECT) {
+            recordUnreachable(endpoint);
+        }
+    }
+
+    private void recordUnreachable(TrackedEndpoint endpoint) {
+        if (endpoint.domain().recordUnreachable(endpoint.registration().id(), ticker.nanos())) {
+            log.stateChanged(
+                    "domain cut off", Map.entry("domain", endpoint.domain().id()));
+            capacityChanged();
+        }
+    }
+
     void peerWorkRead(PeerMessage.WorkRead read) {
         registry.prefillDone(read.request());
         registry.find(read.endpoint()).ifPresent(e -> e.recordFirstEventDelay(read.delayMillis(), ticker.nanos()));
@@ -300,6 +325,10 @@
         return peerLoad.groupCount();
     }
 
+    FailureDomain domain() {
+        return options.domain();
+    }
+
     InstanceId instance() {
         return options.instance();
     }
@@ -410,7 +439,7 @@
                 registry.setEvacuated(e.domain(), true);
                 log.stateChanged("domain taken out", Map.entry("domain", e.domain()));
             }
-            case ControlEntry.Peer p -> peerLoad.peerListed(p.instance(), p.address());
+            case ControlEntry.Peer p -> peerLoad.peerListed(p);
             case ControlEntry.Quarantine c -> crashes.onStored(c.trait());
             case ControlEntry.EndpointCrash c -> crashes.onStoredCrash(c.endpoint(), c.suspects());
             case ControlEntry.Unreadable u ->
--- a/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
@@ -1,7 +1,9 @@
 package org.jujuberouter.gateway;
 
 import java.util.function.LongSupplier;
+import org.jujuberouter.dispatch.AwayReason;
 import org.jujuberouter.error.ExecutionOutcome;
+import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.telemetry.LabelledMetrics;
 
 /** Counters and histograms of one instance; the burn-rate report depends on their names and labels. */
@@ -35,6 +37,14 @@
         metrics.observe("placement_wait_seconds", "service=\"" + service + "\"", WAIT_BUCKETS_S, waitedNanos);
     }
 
+    /** Counts a placed call by the domains of the instance and of the endpoint, and by the reason if it leaves. */
+    void placedAcross(FailureDomain from, FailureDomain to, AwayReason away) {
+        metrics.count("calls_placed_total", "from=\"" + from + "\",to=\"" + to + "\"", 1);
+        if (away != AwayReason.NONE) {
+            metrics.count("calls_away_total", "reason=\"" + away.text() + "\"", 1);
+        }
+    }
+
     /** Observes by how much a first event was later than predicted. */
     void firstEventDelayed(String service, long millis) {
         metrics.observe("plan_error_seconds", "service=\"" + service + "\"", WAIT_BUCKETS_S, millis * 1_000_000);
--- a/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import org.jujuberouter.dispatch.DomainMode;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
 
@@ -16,6 +17,7 @@
  * @param store address of the platform's key-value store
  * @param metrics listen address for metrics; empty if they are not served
  * @param firstStart whether the whole system starts for the first time, so that no instance has run before
+ * @param domainMode how placement takes failure domains into account
  * @param bounds limits set for the deployment
  */
 public record GatewayOptions(
@@ -27,11 +29,41 @@
         InetSocketAddress store,
         Optional<InetSocketAddress> metrics,
         boolean firstStart,
+        DomainMode domainMode,
         ServingBounds bounds) {
+    /** Creates options of an instance that decides by itself which calls leave its failure domain. */
+    public GatewayOptions(
+            InstanceId instance,
+            FailureDomain domain,
+            InetSocketAddress callers,
+            InetSocketAddress readiness,
+            InetSocketAddress peers,
+            InetSocketAddress store,
+            Optional<InetSocketAddress> metrics,
+            boolean firstStart,
+            ServingBounds bounds) {
+        this(instance, domain, callers, readiness, peers, store, metrics, firstStart, DomainMode.AUTO, bounds);
+    }
+
     /** Returns a copy of these options that serves metrics at the given port of the callers' address. */
     public GatewayOptions withMetricsPort(int port) {
         InetSocketAddress address = new InetSocketAddress(callers.getAddress(), port);
         return new GatewayOptions(
-                instance, domain, callers, readiness, peers, store, Optional.of(address), firstStart, bounds);
+                instance,
+                domain,
+                callers,
+                readiness,
+                peers,
+                store,
+                Optional.of(address),
+                firstStart,
+                domainMode,
+                bounds);
+    }
+
+    /** Returns a copy of these options with the given mode of placement across domains. */
+    public GatewayOptions withDomainMode(DomainMode mode) {
+        return new GatewayOptions(
+                instance, domain, callers, readiness, peers, store, metrics, firstStart, mode, bounds);
     }
 }
--- a/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
@@ -11,12 +11,14 @@
 import org.jujuberouter.catalog.CallerLimits;
 import org.jujuberouter.catalog.Catalog;
 import org.jujuberouter.catalog.Customer;
+import org.jujuberouter.catalog.DomainNetwork;
 import org.jujuberouter.catalog.EngineCostModel;
 import org.jujuberouter.catalog.RetryPolicy;
 import org.jujuberouter.catalog.Route;
 import org.jujuberouter.catalog.ServiceSpec;
 import org.jujuberouter.control.ControlEntry;
 import org.jujuberouter.id.CustomerId;
+import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.ServiceName;
 
 /** Decodes the operator's configuration from its JSON form. */
@@ -136,7 +138,22 @@
                 // "read_per_s" is in prompt tokens per second; the model uses tokens per millisecond.
                 Math.max(0.001, e.path("read_per_s").asDouble(1_000_000) / 1_000),
                 e.path("pairs_per_m").asDouble(),
-                e.path("chunk").asLong(2_048));
+                e.path("chunk").asLong(2_048),
+                network(e));
+    }
+
+    /** Each delay applies in both directions. */
+    private static DomainNetwork network(JsonNode engine) {
+        Map<FailureDomain, Map<FailureDomain, Double>> delays = new HashMap<>();
+        for (JsonNode d : engine.path("delays")) {
+            FailureDomain one = FailureDomain.of(KvValueCodec.text(d, "Source"));
+            FailureDomain other = FailureDomain.of(KvValueCodec.text(d, "TargetVersion"));
+            double delayMs = Math.max(0, d.path("delay_ms").asDouble());
+            delays.computeIfAbsent(one, _ -> new HashMap<>()).put(other, delayMs);
+            delays.computeIfAbsent(other, _ -> new HashMap<>()).put(one, delayMs);
+        }
+        double costPerMb = engine.path("transfer_cost_per_mb").asDouble(DomainNetwork.DEFAULT_COST_PER_MB);
+        return new DomainNetwork(delays, Math.max(0, costPerMb) / 1e6);
     }
 
     /** The field "Tenants" alone makes keys necessary, also if it holds no customer or no key. */
