Order waiting calls by their customers' fair shares

While calls of a service wait because no endpoint has room, calls of customers that have had more than their max-min fair share of its work go behind the others. WorkStarted gains the work, the time waited and the customer, so that the instances of a group agree on the shares.

--- a/src/main/java/org/jujuberouter/dispatch/CallQueue.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallQueue.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.misc.Ticker;
 
 /**
@@ -16,32 +18,77 @@
  * With first-come, first-served order a short overload would make every call late, because each free slot would go to
  * the call that has already waited too long.
  *
+ * <p>While calls of a service wait because no endpoint has room, calls of customers that have had more than their fair
+ * share go behind the others, and calls of a higher priority go first among calls that can wait.
+ *
  * @param <C> type of the calls
  */
 public final class CallQueue<C> {
-    /** Number of short or of long calls that may fail to be placed before the others of that length are skipped. */
+    /**
+     * Number of short or of long calls of a service that may fail to be placed before the others of that length are
+     * skipped; counted separately for calls of customers above their share.
+     */
     private static final int MAX_FAILURES_PER_CLASS = 12;
 
     private final Ticker ticker;
+    private final FairShare shares;
     private final Map<C, Entry<C>> waiting = new LinkedHashMap<>();
 
-    private record Entry<C>(C call, CallRequirements requirements, long arrivedNanos) {
-        private long dueNanos() {
-            return arrivedNanos + TimeUnit.MILLISECONDS.toNanos(requirements.objectiveMs());
+    private static final class Entry<C> {
+        private final C call;
+        private final CallRequirements requirements;
+        private final long arrivedNanos;
+        private final long dueNanos;
+        private boolean hasFailed;
+        private boolean deferred;
+        private boolean late;
+        private int priorityClass;
+
+        private Entry(C call, CallRequirements requirements, long arrivedNanos) {
+            this.call = call;
+            this.requirements = requirements;
+            this.arrivedNanos = arrivedNanos;
+            this.dueNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(requirements.objectiveMs());
+        }
+
+        private void rank(FairShare shares, long now) {
+            double waitedMs = (now - arrivedNanos) / 1e6;
+            late = !requirements.canBeOnTime(waitedMs);
+            priorityClass = shares.priorityClass(requirements, waitedMs);
+        }
+
+        private boolean isLate() {
+            return late;
+        }
+
+        private int priorityClass() {
+            return priorityClass;
         }
 
-        private boolean isLate(long now) {
-            return !requirements.canBeOnTime((now - arrivedNanos) / 1e6);
+        private long dueNanos() {
+            return dueNanos;
         }
     }
 
-    private CallQueue(Ticker ticker) {
+    /** Counts of calls that could not be placed in one pass. */
+    private static final class Failures {
+        private int shortCalls;
+        private int longCalls;
+    }
+
+    private CallQueue(Ticker ticker, FairShare shares) {
         this.ticker = ticker;
+        this.shares = shares;
     }
 
-    /** Returns an empty queue. */
+    /** Returns an empty queue without any record of the work that customers have had. */
     public static <C> CallQueue<C> empty(Ticker ticker) {
-        return new CallQueue<>(ticker);
+        return sharedBy(FairShare.of(ticker), ticker);
+    }
+
+    /** Returns an empty queue that orders calls by the given shares. */
+    public static <C> CallQueue<C> sharedBy(FairShare shares, Ticker ticker) {
+        return new CallQueue<>(ticker, shares);
     }
 
     /** Adds a call that arrived at the given time. */
@@ -65,25 +112,65 @@
      * @param tryPlace tries to place a call; returns whether the call can leave the queue
      */
     public void dispatch(Predicate<C> tryPlace) {
-        long now = ticker.nanos();
+        List<Entry<C>> behind = new ArrayList<>();
+        Map<ServiceName, Failures> failures = new HashMap<>();
+        for (Entry<C> e : inOrder()) {
+            // Tested in turn, because a customer can exceed its share through a call placed in the same round.
+            if (shares.isAboveShare(e.requirements)) {
+                behind.add(e);
+            } else {
+                place(e, failures, tryPlace);
+            }
+        }
+        failures.clear();
+        for (Entry<C> e : behind) {
+            if (!e.deferred && shares.isDeferred(e.requirements)) {
+                e.deferred = true;
+                shares.countDeferredCall();
+            }
+            place(e, failures, tryPlace);
+        }
+    }
+
+    private List<Entry<C>> inOrder() {
         List<Entry<C>> order = new ArrayList<>(waiting.values());
-        order.sort(Comparator.comparing((Entry<C> e) -> e.isLate(now)).thenComparing(Entry::dueNanos));
-        int shortFailures = 0;
-        int longFailures = 0;
+        shares.beginRound();
         for (Entry<C> e : order) {
-            if (!waiting.containsKey(e.call)
-                    || (e.requirements.isShort() ? shortFailures : longFailures) >= MAX_FAILURES_PER_CLASS) {
-                continue;
+            if (e.hasFailed) {
+                shares.recordScarcity(e.requirements.service());
+            }
+        }
+        if (shares.isAnyScarce()) {
+            for (Entry<C> e : order) {
+                shares.recordWaiting(e.requirements.service(), e.requirements.claim());
             }
-            // Removed first, because a call that is placed may fail immediately and be queued again.
-            waiting.remove(e.call);
-            if (!tryPlace.test(e.call)) {
-                waiting.put(e.call, e);
-                if (e.requirements.isShort()) {
-                    shortFailures++;
-                } else {
-                    longFailures++;
-                }
+            shares.computeShares();
+        }
+        long now = ticker.nanos();
+        for (Entry<C> e : order) {
+            e.rank(shares, now);
+        }
+        order.sort(Comparator.comparing((Entry<C> e) -> e.isLate())
+                .thenComparingInt(Entry::priorityClass)
+                .thenComparingLong(Entry::dueNanos));
+        return order;
+    }
+
+    private void place(Entry<C> e, Map<ServiceName, Failures> failures, Predicate<C> tryPlace) {
+        Failures counts = failures.computeIfAbsent(e.requirements.service(), _ -> new Failures());
+        if (!waiting.containsKey(e.call)
+                || (e.requirements.isShort() ? counts.shortCalls : counts.longCalls) >= MAX_FAILURES_PER_CLASS) {
+            return;
+        }
+        // Removed first, because a call that is placed may fail immediately and be queued again.
+        waiting.remove(e.call);
+        if (!tryPlace.test(e.call)) {
+            e.hasFailed = true;
+            waiting.put(e.call, e);
+            if (e.requirements.isShort()) {
+                counts.shortCalls++;
+            } else {
+                counts.longCalls++;
             }
         }
     }
--- a/src/main/java/org/jujuberouter/dispatch/CallRequirements.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallRequirements.java
@@ -1,6 +1,9 @@
 package org.jujuberouter.dispatch;
 
+import java.util.Optional;
+import org.jujuberouter.catalog.Customer;
 import org.jujuberouter.catalog.EngineCostModel;
+import org.jujuberouter.catalog.Route;
 import org.jujuberouter.catalog.ServiceSpec;
 import org.jujuberouter.id.RequestId;
 import org.jujuberouter.id.ServiceName;
@@ -15,6 +18,7 @@
  * @param objectiveMs objective for the time to the answer or to its first event, in milliseconds
  * @param gapObjectiveMs objective for the gap between two events, in milliseconds; 0 if the answer is not a stream
  * @param callerTimeoutMs time after which a caller without an answer or a first event disconnects, in milliseconds
+ * @param claim the work of the call and its customer
  */
 public record CallRequirements(
         RequestId id,
@@ -23,7 +27,8 @@
         long outputTokens,
         long objectiveMs,
         long gapObjectiveMs,
-        long callerTimeoutMs) {
+        long callerTimeoutMs,
+        WorkClaim claim) {
     /** Prompt tokens that add the value of one short call. */
     private static final double TOKENS_PER_UNIT_OF_VALUE = 13_000;
 
@@ -33,9 +38,35 @@
     /** Fraction of the latency objective for which a call may wait and still be on time. */
     private static final double MAX_ON_TIME_WAIT_FRACTION = 0.7;
 
+    /** Fraction of the latency objective for which a call may wait behind calls of a higher priority. */
+    private static final double MAX_YIELDING_FRACTION = MAX_ON_TIME_WAIT_FRACTION / 2;
+
     /** Fraction of its value that a late answer keeps. */
     private static final double LATE_VALUE_FRACTION = 0.25;
 
+    /** Creates the requirements of a call whose customer and work are not known. */
+    public CallRequirements(
+            RequestId id,
+            ServiceName service,
+            long promptTokens,
+            long outputTokens,
+            long objectiveMs,
+            long gapObjectiveMs,
+            long callerTimeoutMs) {
+        this(id, service, promptTokens, outputTokens, objectiveMs, gapObjectiveMs, callerTimeoutMs, WorkClaim.NONE);
+    }
+
+    /** Returns these requirements on behalf of a customer, with the work by the cost model of the service. */
+    public CallRequirements claimedBy(Optional<Customer> customer, Route route, ServiceSpec declaration) {
+        return withClaim(WorkClaim.of(customer, route, workMs(declaration)));
+    }
+
+    /** Returns these requirements with the given claim. */
+    CallRequirements withClaim(WorkClaim newClaim) {
+        return new CallRequirements(
+                id, service, promptTokens, outputTokens, objectiveMs, gapObjectiveMs, callerTimeoutMs, newClaim);
+    }
+
     /** Returns whether the prompt is short; short and long prompts are placed on different engines. */
     boolean isShort() {
         return promptTokens <= MAX_SHORT_PROMPT_TOKENS;
@@ -46,6 +77,11 @@
         return waitedMs <= objectiveMs * MAX_ON_TIME_WAIT_FRACTION;
     }
 
+    /** Returns whether the call can still wait behind calls of a higher priority after the given waiting time. */
+    boolean yieldsToHigherPriority(double waitedMs) {
+        return waitedMs <= objectiveMs * MAX_YIELDING_FRACTION;
+    }
+
     /** Returns the value of an answer on time, in units of a short call; it grows with the length of the prompt. */
     private double value() {
         return 1 + promptTokens / TOKENS_PER_UNIT_OF_VALUE;
@@ -65,6 +101,19 @@
         return engine.prefillMs(promptTokens) + iterations * engine.decodeIterationMs(engine.slots(), contextTokens);
     }
 
+    /**
+     * Returns the time of an engine that the call uses, in milliseconds: the prefill, which no other call can use, and its
+     * part of the time in which it holds one of the slots. Calls of a service without a cost model differ only in their
+     * objective.
+     */
+    private double workMs(ServiceSpec declaration) {
+        if (declaration.engine().isEmpty()) {
+            return objectiveMs;
+        }
+        EngineCostModel engine = declaration.engine().get();
+        return engine.prefillMs(promptTokens) + expectedMs(declaration) / engine.slots();
+    }
+
     /** Returns how much more an answer on time is worth than a late one, in units of a short call. */
     public double onTimeGain() {
         return value() * (1 - LATE_VALUE_FRACTION);
--- a/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
@@ -179,9 +179,27 @@
      */
     public PlacementDecision place(
             CallRequirements requirements, ServiceSpec service, Set<EndpointId> tried, double waitedMs) {
+        return place(requirements, service, tried, waitedMs, false);
+    }
+
+    /**
+     * Decides whether a call is sent, queued or refused.
+     *
+     * @param deferred whether calls of customers below their share go first; such a call leaves a freed slot of an engine
+     *     to those that wait at other instances, but takes a slot of an endpoint whose calls are short, because the
+     *     slot would be free for a large part of the time
+     */
+    public PlacementDecision place(
+            CallRequirements requirements,
+            ServiceSpec service,
+            Set<EndpointId> tried,
+            double waitedMs,
+            boolean deferred) {
         long now = ticker.nanos();
         boolean waitExhausted = waitedMs > requirements.callerTimeoutMs() * MAX_WAIT_FRACTION;
-        boolean yields = !requirements.canBeOnTime(waitedMs) && !waitExhausted;
+        boolean yields = (!requirements.canBeOnTime(waitedMs)
+                        || deferred && service.engine().isPresent())
+                && !waitExhausted;
         boolean anyUsable = false;
         List<TrackedEndpoint> available = new ArrayList<>();
         List<TrackedEndpoint> healthy = new ArrayList<>();
--- a/src/main/java/org/jujuberouter/gateway/CallTelemetry.java
+++ b/src/main/java/org/jujuberouter/gateway/CallTelemetry.java
@@ -24,6 +24,7 @@
     private String service = "";
     private String customer = "";
     private int waitLoggedForAttempt = -1;
+    private boolean deferralLogged;
     private long firstEventNanos;
     private long lastEventNanos;
     private long longestGapNanos;
@@ -76,11 +77,17 @@
         logWarning("silent endpoint", Map.entry("endpoint", endpoint.id()), Map.entry("for_ms", silenceMs));
     }
 
-    /** Logs that the call is queued, at most once per attempt. */
-    void waiting(String reason, int attempts) {
-        if (waitLoggedForAttempt != attempts) {
+    /** Logs that the call is queued, at most once per attempt and once when its customer's share is used up. */
+    void waiting(String reason, boolean deferred, int attempts) {
+        if (waitLoggedForAttempt != attempts || deferred && !deferralLogged) {
             waitLoggedForAttempt = attempts;
-            gateway.log().call("waits", call, Map.entry("reason", reason), Map.entry("tokens", call.promptTokens()));
+            deferralLogged |= deferred;
+            gateway.log()
+                    .call(
+                            "waits",
+                            call,
+                            Map.entry("reason", deferred ? "share used up" : reason),
+                            Map.entry("tokens", call.promptTokens()));
         }
     }
 
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -110,13 +110,14 @@
         deadlineNanos = telemetry.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(waitMs);
         deadlineTimer = gateway.loop().schedule(this::onDeadline, waitMs, TimeUnit.MILLISECONDS);
         requirements = new CallRequirements(
-                call.id(),
-                service.name(),
-                call.promptTokens(),
-                call.outputTokens(),
-                route.objectiveMs(),
-                route.gapObjectiveMs(),
-                Math.min(waitMs, route.callerTimeoutMs()));
+                        call.id(),
+                        service.name(),
+                        call.promptTokens(),
+                        call.outputTokens(),
+                        route.objectiveMs(),
+                        route.gapObjectiveMs(),
+                        Math.min(waitMs, route.callerTimeoutMs()))
+                .claimedBy(customer, route, service);
         traits = CallTraits.of(call, service.name(), customer, head, body);
         if (!endIfQuarantined()) {
             gateway.retries(service.name()).recordRequest();
@@ -177,10 +178,11 @@
             return true;
         }
         double waitedMs = (gateway.ticker().nanos() - telemetry.arrivedNanos()) / 1e6;
-        switch (gateway.scheduler().place(requirements, service, triedEndpoints, waitedMs)) {
+        boolean deferred = gateway.isDeferred(requirements);
+        switch (gateway.scheduler().place(requirements, service, triedEndpoints, waitedMs, deferred)) {
             case PlacementDecision.Send send -> send(send);
             case PlacementDecision.Wait wait -> {
-                telemetry.waiting(wait.reason(), triedEndpoints.size());
+                telemetry.waiting(wait.reason(), deferred, triedEndpoints.size());
                 return false;
             }
             case PlacementDecision.Refuse refuse -> refuseOrFail(refuse.reason(), refuse.retryAfterMs());
@@ -196,7 +198,9 @@
 
     private void send(PlacementDecision.Send placement) {
         TrackedEndpoint endpoint = placement.endpoint();
-        gateway.allocate(placement.allocations(), remainingMs());
+        // Only the first attempt shows that capacity was scarce; later ones include the time at an endpoint.
+        long waitedMs = triedEndpoints.isEmpty() ? telemetry.elapsedMs() : 0;
+        gateway.allocate(placement.allocations(), requirements, remainingMs(), waitedMs);
         triedEndpoints.add(endpoint.registration().id());
         Attempt thisAttempt = new Attempt(endpoint);
         attempt = thisAttempt;
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -31,10 +31,12 @@
 import org.jujuberouter.dispatch.CallRequirements;
 import org.jujuberouter.dispatch.CallScheduler;
 import org.jujuberouter.dispatch.EndpointRegistry;
+import org.jujuberouter.dispatch.FairShare;
 import org.jujuberouter.dispatch.RetryLimiter;
 import org.jujuberouter.dispatch.StopSchedule;
 import org.jujuberouter.dispatch.StoreFreshness;
 import org.jujuberouter.dispatch.TrackedEndpoint;
+import org.jujuberouter.dispatch.WorkClaim;
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.RequestId;
 import org.jujuberouter.id.ServiceName;
@@ -70,7 +72,8 @@
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Set<Exchange> running = new HashSet<>();
     private final StopSchedule stopSchedule;
-    private final CallQueue<Exchange> waitQueue = CallQueue.empty(ticker);
+    private final FairShare shares = FairShare.of(ticker);
+    private final CallQueue<Exchange> waitQueue = CallQueue.sharedBy(shares, ticker);
     private PeerLoadSync peerLoad;
     private CrashQuarantine crashes;
     private Optional<Catalog> catalog = Optional.empty();
@@ -96,6 +99,8 @@
                 StoreFreshness.of(ticker, wallClock, options.bounds().keyRevocationMs());
         metrics.gauge("calls_running", running::size);
         metrics.gauge("calls_waiting", waitQueue::size);
+        metrics.gauge("calls_deferred_total", shares::deferredCalls);
+        metrics.shares(shares);
         metrics.gauge("caller_connections", connections::size);
         metrics.gauge("memory_releases_pending", () -> memoryReleases);
         metrics.gauge("peers_known", () -> peerLoad.peerCount());
@@ -249,9 +254,28 @@
         return allowed;
     }
 
-    void allocate(List<Allocation> allocations, long remainingMs) {
+    void allocate(List<Allocation> allocations, CallRequirements requirements, long remainingMs, long waitedMs) {
         registry.allocate(allocations);
-        peerLoad.workStarted(allocations, remainingMs);
+        shares.charge(requirements.service(), requirements.claim(), waitedMs);
+        peerLoad.workStarted(allocations, remainingMs, requirements.claim(), waitedMs);
+    }
+
+    /** Charges the work of a call that a peer has placed to its customer. */
+    void chargePeerWork(PeerMessage.WorkStarted work) {
+        if (work.workMicros() == 0 || work.parts().isEmpty()) {
+            return;
+        }
+        Optional<TrackedEndpoint> endpoint =
+                registry.find(work.parts().getFirst().endpoint());
+        if (endpoint.isPresent()) {
+            WorkClaim claim = new WorkClaim(work.customer(), WorkClaim.UNKNOWN_PRIORITY, work.workMicros() / 1e3);
+            shares.charge(endpoint.get().registration().service(), claim, work.waitedMillis());
+        }
+    }
+
+    /** Returns whether a call has to let calls of customers below their share go first. */
+    boolean isDeferred(CallRequirements requirements) {
+        return shares.isDeferred(requirements);
     }
 
     /** Records the first event of a call and by how much it was later than predicted, or earlier if negative. */
--- a/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
@@ -1,7 +1,9 @@
 package org.jujuberouter.gateway;
 
 import java.util.function.LongSupplier;
+import org.jujuberouter.dispatch.FairShare;
 import org.jujuberouter.error.ExecutionOutcome;
+import org.jujuberouter.id.CustomerId;
 import org.jujuberouter.telemetry.LabelledMetrics;
 
 /** Counters and histograms of one instance; the burn-rate report depends on their names and labels. */
@@ -12,7 +14,11 @@
     private static final double[] GAP_BUCKETS_S = {0.043, 0.1, 0.25, 0.6, 1, 2};
     private static final double[] WAIT_BUCKETS_S = {0.001, 0.01, 0.05, 0.1, 0.3, 1, 3};
 
+    /** Maximum number of customers whose usage is rendered; each one is a time series of its own. */
+    private static final int MAX_CUSTOMERS = 32;
+
     private final LabelledMetrics metrics = LabelledMetrics.create();
+    private FairShare shares;
 
     /** Counts a finished call; the customer is empty if it was not identified. */
     void ended(String service, String customer, ExecutionOutcome outcome, int status) {
@@ -80,8 +86,23 @@
         metrics.gauge(name, value::getAsLong);
     }
 
+    /** Sets the shares whose largest users are rendered. */
+    void shares(FairShare rendered) {
+        shares = rendered;
+    }
+
     String render() {
-        return metrics.render();
+        StringBuilder out = new StringBuilder(metrics.render());
+        if (shares != null) {
+            for (FairShare.Usage u : shares.largest(MAX_CUSTOMERS)) {
+                out.append("jujuberouter_customer_share_used{customer=\"")
+                        .append(u.customer().map(CustomerId::value).orElse("").replace('"', '\''))
+                        .append("\"} ")
+                        .append(u.percentOfEqualShare())
+                        .append('\n');
+            }
+        }
+        return out.toString();
     }
 
     private static String labels(String service, String customer) {
--- a/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
+++ b/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
@@ -16,6 +16,7 @@
 import org.jujuberouter.control.StoreWatcher;
 import org.jujuberouter.dispatch.Allocation;
 import org.jujuberouter.dispatch.InstanceGroups;
+import org.jujuberouter.dispatch.WorkClaim;
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.Incarnation;
@@ -72,7 +73,7 @@
     private boolean regroupScheduled;
     private PeerNetwork network;
 
-    private record PlacedWork(InstanceId instance, long expiresAt, List<Allocation> allocations) {}
+    private record PlacedWork(InstanceId instance, long expiresAt, List<Allocation> allocations, WorkClaim claim) {}
 
     private PeerLoadSync(Gateway gateway, StoreWatcher watcher, EventLoop loop, Ticker ticker, InstanceId self) {
         this.gateway = gateway;
@@ -178,10 +179,10 @@
         return addresses.size();
     }
 
-    void workStarted(List<Allocation> allocations, long remainingMs) {
-        RequestId id = allocations.getFirst().id();
-        ownWork.put(id, new PlacedWork(self, expiresAt(remainingMs), allocations));
-        network.broadcast(workStartedMessage(id, remainingMs, allocations), members);
+    void workStarted(List<Allocation> allocations, long remainingMs, WorkClaim claim, long waitedMs) {
+        PlacedWork work = new PlacedWork(self, expiresAt(remainingMs), allocations, claim);
+        ownWork.put(allocations.getFirst().id(), work);
+        network.broadcast(workStartedMessage(work, remainingMs, waitedMs), members);
     }
 
     void workRead(RequestId id, EndpointId endpoint, long delayMs) {
@@ -217,9 +218,9 @@
     public void onConnected(Incarnation peer, FailureDomain domain) {
         gateway.log().stateChanged("peer connected", Map.entry("peer", peer));
         selectProving();
-        for (Map.Entry<RequestId, PlacedWork> e : ownWork.entrySet()) {
-            long remainingMs = TimeUnit.NANOSECONDS.toMillis(e.getValue().expiresAt - ticker.nanos());
-            send(peer.instance(), workStartedMessage(e.getKey(), Math.max(0, remainingMs), e.getValue().allocations));
+        for (PlacedWork work : ownWork.values()) {
+            long remainingMs = TimeUnit.NANOSECONDS.toMillis(work.expiresAt - ticker.nanos());
+            send(peer.instance(), workStartedMessage(work, Math.max(0, remainingMs), 0));
         }
     }
 
@@ -235,9 +236,15 @@
     private void apply(InstanceId sender, PeerMessage.GatewayMessage message) {
         switch (message) {
             case PeerMessage.WorkStarted m -> {
+                // Work that is sent again after a connection was lost is charged only once.
+                if (!peerWork.containsKey(m.request())) {
+                    gateway.chargePeerWork(m);
+                }
                 removeWork(m.request());
                 List<Allocation> allocations = allocations(m);
-                peerWork.put(m.request(), new PlacedWork(sender, expiresAt(m.remainingMillis()), allocations));
+                peerWork.put(
+                        m.request(),
+                        new PlacedWork(sender, expiresAt(m.remainingMillis()), allocations, WorkClaim.NONE));
                 gateway.registry().allocate(allocations);
             }
             case PeerMessage.WorkRead m -> gateway.peerWorkRead(m);
@@ -345,12 +352,11 @@
         return ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(remainingMs);
     }
 
-    private static PeerMessage.WorkStarted workStartedMessage(
-            RequestId id, long remainingMs, List<Allocation> allocations) {
+    private static PeerMessage.WorkStarted workStartedMessage(PlacedWork work, long remainingMs, long waitedMs) {
         return new PeerMessage.WorkStarted(
-                id,
+                work.allocations.getFirst().id(),
                 remainingMs,
-                allocations.stream()
+                work.allocations.stream()
                         .map(w -> new PeerMessage.WorkPart(
                                 w.endpoint(),
                                 w.holdsSlot(),
@@ -359,7 +365,10 @@
                                 w.objectiveMs(),
                                 w.gapObjectiveMs(),
                                 w.lateCost()))
-                        .toList());
+                        .toList(),
+                (long) (work.claim.workMs() * 1e3),
+                waitedMs,
+                work.claim.customer());
     }
 
     @Override
--- a/src/main/java/org/jujuberouter/peer/FieldWriter.java
+++ b/src/main/java/org/jujuberouter/peer/FieldWriter.java
@@ -112,7 +112,7 @@
     private void gatewayMessage(GatewayMessage message) throws IOException, PeerException {
         switch (message) {
             case WorkStarted m -> {
-                messageHeader(PeerCodec.WORK_STARTED, 3).text(m.request()).number(m.remainingMillis());
+                messageHeader(PeerCodec.WORK_STARTED, 6).text(m.request()).number(m.remainingMillis());
                 list("parts", PeerCodec.MAX_PARTS, m.parts());
                 for (WorkPart p : m.parts()) {
                     out.packArrayHeader(7);
@@ -124,6 +124,9 @@
                             .number(p.maxGapMillis())
                             .decimal(p.weight());
                 }
+                number(m.workMicros())
+                        .number(m.waitedMillis())
+                        .textOrNil(m.customer().orElse(null));
             }
             case WorkRead m ->
                 messageHeader(PeerCodec.WORK_READ, 3)
--- a/src/main/java/org/jujuberouter/peer/PeerCodec.java
+++ b/src/main/java/org/jujuberouter/peer/PeerCodec.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
+import java.util.Optional;
 import org.jujuberouter.id.CustomerId;
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
@@ -196,16 +197,7 @@
     private static PeerMessage readGatewayMessage(FieldReader in, int fields, int type)
             throws IOException, PeerException {
         return switch (type) {
-            case WORK_STARTED ->
-                readFields(
-                        in,
-                        "WorkStarted",
-                        fields,
-                        3,
-                        r -> new WorkStarted(
-                                r.id("request", RequestId::of),
-                                r.number("time left"),
-                                r.list("parts", MAX_PARTS, e -> e.struct("part", 7, PeerCodec::workPart))));
+            case WORK_STARTED -> workStarted(in, fields);
             case WORK_READ ->
                 readFields(
                         in,
@@ -262,6 +254,25 @@
         });
     }
 
+    /** Reads a notification; builds without shares among customers send the first three fields only. */
+    private static WorkStarted workStarted(FieldReader in, int fields) throws IOException, PeerException {
+        boolean withCustomer = fields >= 6;
+        return readFields(in, "WorkStarted", fields, withCustomer ? 6 : 3, r -> {
+            RequestId request = r.id("request", RequestId::of);
+            long remaining = r.number("time left");
+            List<WorkPart> parts = r.list("parts", MAX_PARTS, e -> e.struct("part", 7, PeerCodec::workPart));
+            return withCustomer
+                    ? new WorkStarted(
+                            request,
+                            remaining,
+                            parts,
+                            r.number("work"),
+                            r.number("time waited"),
+                            r.optionalId("customer", CustomerId::of))
+                    : new WorkStarted(request, remaining, parts, 0, 0, Optional.empty());
+        });
+    }
+
     private static WorkPart workPart(FieldReader r) throws IOException, PeerException {
         return new WorkPart(
                 r.id("endpoint", EndpointId::of),
--- a/src/main/java/org/jujuberouter/peer/PeerMessage.java
+++ b/src/main/java/org/jujuberouter/peer/PeerMessage.java
@@ -342,8 +342,18 @@
      *
      * @param remainingMillis the time after which the work has ended at the latest
      * @param parts the work at each endpoint, at most {@link PeerCodec#MAX_PARTS}
+     * @param workMicros the time of an engine that the call uses in total, in microseconds; 0 if not known
+     * @param waitedMillis the time for which the call had waited for an endpoint
+     * @param customer the customer; empty for calls of public routes
      */
-    record WorkStarted(RequestId request, long remainingMillis, List<WorkPart> parts) implements GatewayMessage {
+    record WorkStarted(
+            RequestId request,
+            long remainingMillis,
+            List<WorkPart> parts,
+            long workMicros,
+            long waitedMillis,
+            Optional<CustomerId> customer)
+            implements GatewayMessage {
         /** Copies the list. */
         public WorkStarted {
             parts = List.copyOf(parts);
--- a/src/main/java/org/jujuberouter/peer/SampleMessages.java
+++ b/src/main/java/org/jujuberouter/peer/SampleMessages.java
@@ -82,7 +82,10 @@
                         REQUEST,
                         15_000,
                         Collections.nCopies(
-                                4, new PeerMessage.WorkPart(ENDPOINT, true, 470_000, 133_000, 2_500, 1_000, 11.2))),
+                                4, new PeerMessage.WorkPart(ENDPOINT, true, 470_000, 133_000, 2_500, 1_000, 11.2)),
+                        2_100_000,
+                        40,
+                        Optional.of(CUSTOMER)),
                 new PeerMessage.WorkRead(REQUEST, ENDPOINT, 12),
                 new PeerMessage.WorkEnded(REQUEST),
                 new PeerMessage.ContactQuery(-7_000_000_000L),
