--- a/src/main/java/org/jujuberouter/dispatch/CallQueue.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallQueue.java
@@ -94,6 +94,7 @@
     /** Adds a call that arrived at the given time. */
     public void add(C call, CallRequirements requirements, long arrivedNanos) {
         waiting.put(call, new Entry<>(call, requirements, arrivedNanos));
+        shares.recordArrival(requirements);
     }
 
     /** Removes a call if it is queued. */
--- a/src/main/java/org/jujuberouter/dispatch/FairShare.java
+++ b/src/main/java/org/jujuberouter/dispatch/FairShare.java
@@ -46,10 +46,10 @@
     private static final double NEGLIGIBLE_WORK_MS = 0.01;
 
     /**
-     * Part of an equal share of the work of all priorities that a lower one gets while its calls cannot wait any longer;
-     * half keeps it from starving and still leaves the most to the higher ones.
+     * Part of its work that a priority gets placed at least, relative to the part of the highest waiting one. Below 1, so
+     * that no priority is served less than a lower one; near it, because long prompts often have the lower priority.
      */
-    private static final double MIN_PRIORITY_FRACTION = 0.5;
+    private static final double MIN_PRIORITY_FRACTION = 0.8;
 
     /** Maximum number of passes over the accounts to find the level; the level is exact after a few. */
     private static final int MAX_PASSES = 16;
@@ -74,12 +74,17 @@
         }
     }
 
+    /** The work of one priority that arrived at this instance, and the part of it that was placed. */
+    private static final class PriorityWork {
+        private double arrived;
+        private double placed;
+    }
+
     /** The customers of one service. */
     private static final class Contest {
         private final Map<Optional<CustomerId>, Account> accounts = new HashMap<>();
-        private final Map<Integer, Account> priorities = new HashMap<>();
+        private final Map<Integer, PriorityWork> priorities = new HashMap<>();
         private double total;
-        private double totalOfPriorities;
         private double limit;
         private boolean scarce;
         private boolean belowShareContends;
@@ -122,14 +127,20 @@
         account.usage += work;
         contest.total += work;
         if (claim.priority() != WorkClaim.UNKNOWN_PRIORITY) {
-            contest.priorities.computeIfAbsent(claim.priority(), _ -> new Account(now)).usage += work;
-            contest.totalOfPriorities += work;
+            contest.priorities.computeIfAbsent(claim.priority(), _ -> new PriorityWork()).placed += work;
         }
         if (waitedMs >= MIN_WAIT_MS) {
             extendDemand(account, now + WAITED_DEMAND_NANOS);
         }
     }
 
+    /** Records a call that arrived at this instance. */
+    void recordArrival(CallRequirements call) {
+        Contest contest = contests.computeIfAbsent(call.service(), _ -> new Contest());
+        contest.priorities.computeIfAbsent(call.claim().priority(), _ -> new PriorityWork()).arrived +=
+                call.claim().workMs() * growth(ticker.nanos());
+    }
+
     /** Begins a round of placing the waiting calls. */
     void beginRound() {
         roundNanos = ticker.nanos();
@@ -156,7 +167,7 @@
             Account account = contest.accounts.computeIfAbsent(claim.customer(), _ -> new Account(roundNanos));
             extendDemand(account, roundNanos + MAX_ROUND_AGE_NANOS);
             contest.highestPriority = Math.min(contest.highestPriority, claim.priority());
-            contest.priorities.computeIfAbsent(claim.priority(), _ -> new Account(roundNanos));
+            contest.priorities.computeIfAbsent(claim.priority(), _ -> new PriorityWork());
         }
     }
 
@@ -192,9 +203,10 @@
         if (priority == contest.highestPriority || call.yieldsToHigherPriority(waitedMs)) {
             return priority;
         }
-        Account had = contest.priorities.get(priority);
-        double owed = MIN_PRIORITY_FRACTION * contest.totalOfPriorities / contest.priorities.size();
-        return had == null || had.usage <= owed ? contest.highestPriority : priority;
+        PriorityWork own = contest.priorities.get(priority);
+        PriorityWork highest = contest.priorities.get(contest.highestPriority);
+        boolean servedLess = own.placed * highest.arrived < MIN_PRIORITY_FRACTION * highest.placed * own.arrived;
+        return servedLess ? contest.highestPriority : priority;
     }
 
     /** Returns whether the customer of a call has had more than its fair share of a scarce service. */
@@ -295,8 +307,10 @@
         for (Contest contest : contests.values()) {
             contest.limit *= decay;
             contest.total = 0;
-            contest.totalOfPriorities *= decay;
-            contest.priorities.values().forEach(a -> a.usage *= decay);
+            for (PriorityWork work : contest.priorities.values()) {
+                work.arrived *= decay;
+                work.placed *= decay;
+            }
             contest.accounts.values().removeIf(a -> a.usage * decay < NEGLIGIBLE_WORK_MS && !a.contends(now));
             for (Account account : contest.accounts.values()) {
                 account.usage *= decay;
--- a/src/test/java/org/jujuberouter/peer/PeerCodecTest.java
+++ b/src/test/java/org/jujuberouter/peer/PeerCodecTest.java
@@ -7,8 +7,10 @@
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import org.jujuberouter.id.CustomerId;
+import org.jujuberouter.id.RequestId;
 import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.peer.PeerException.Kind;
 import org.jujuberouter.peer.PeerMessage.CustomerDemand;
@@ -61,6 +63,18 @@
         assertEquals(new PeerMessage.ContactReport(-7, 640, 18_233, 0, 0), PeerCodec.decode(three));
     }
 
+    /** In a rolling upgrade, instances of a build without shares among customers stay connected. */
+    @Test
+    void readsAStartOfWorkWithoutWorkAndCustomer() throws Exception {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packArrayHeader(4).packInt(PeerCodec.WORK_STARTED).packString("r-1");
+            packer.packLong(15_000).packArrayHeader(0);
+            assertEquals(
+                    new PeerMessage.WorkStarted(RequestId.of("r-1"), 15_000, List.of(), 0, 0, Optional.empty()),
+                    PeerCodec.decode(packer.toByteArray()));
+        }
+    }
+
     @Test
     void rejectsWrongMagicAndOtherVersionsBeforeReadingFurtherFields() throws Exception {
         assertEquals(Kind.WRONG_MAGIC, decodeError(hello("other", 1)).kind());
