--- a/src/main/java/org/jujuberouter/dispatch/CallQueue.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallQueue.java
@@ -94,7 +94,6 @@
     /** Adds a call that arrived at the given time. */
     public void add(C call, CallRequirements requirements, long arrivedNanos) {
         waiting.put(call, new Entry<>(call, requirements, arrivedNanos));
-        shares.recordArrival(requirements);
     }
 
     /** Removes a call if it is queued. */
--- a/src/main/java/org/jujuberouter/dispatch/CallRequirements.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallRequirements.java
@@ -61,6 +61,11 @@
         return withClaim(WorkClaim.of(customer, route, workMs(declaration)));
     }
 
+    /** Returns these requirements without the work, which has been charged already. */
+    public CallRequirements charged() {
+        return withClaim(new WorkClaim(claim.customer(), claim.priority(), 0));
+    }
+
     /** Returns these requirements with the given claim. */
     CallRequirements withClaim(WorkClaim newClaim) {
         return new CallRequirements(
--- a/src/main/java/org/jujuberouter/dispatch/FairShare.java
+++ b/src/main/java/org/jujuberouter/dispatch/FairShare.java
@@ -135,7 +135,7 @@
     }
 
     /** Records a call that arrived at this instance. */
-    void recordArrival(CallRequirements call) {
+    public void recordArrival(CallRequirements call) {
         Contest contest = contests.computeIfAbsent(call.service(), _ -> new Contest());
         contest.priorities.computeIfAbsent(call.claim().priority(), _ -> new PriorityWork()).arrived +=
                 call.claim().workMs() * growth(ticker.nanos());
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -73,6 +73,7 @@
     private boolean finished;
     private boolean mayHaveRun;
     private int attemptsReceived;
+    private int attemptsCharged;
     private int reservations;
     private Attempt attempt;
 
@@ -200,7 +201,11 @@
         TrackedEndpoint endpoint = placement.endpoint();
         // Only the first attempt shows that capacity was scarce; later ones include the time at an endpoint.
         long waitedMs = triedEndpoints.isEmpty() ? telemetry.elapsedMs() : 0;
-        gateway.allocate(placement.allocations(), requirements, remainingMs(), waitedMs);
+        // An attempt that its endpoint did not run is not charged, or prompts whose memory was refused would pay twice.
+        boolean charge = attemptsCharged <= attemptsReceived;
+        attemptsCharged += charge ? 1 : 0;
+        gateway.allocate(
+                placement.allocations(), charge ? requirements : requirements.charged(), remainingMs(), waitedMs);
         triedEndpoints.add(endpoint.registration().id());
         Attempt thisAttempt = new Attempt(endpoint);
         attempt = thisAttempt;
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -358,6 +358,7 @@
 
     /** Queues a call that has just arrived and tries to place the queued calls in order. */
     void enqueueAndPlace(Exchange exchange, CallRequirements requirements, long arrivedNanos) {
+        shares.recordArrival(requirements);
         waitQueue.add(exchange, requirements, arrivedNanos);
         placeWaitingCalls();
     }
--- a/src/test/java/org/jujuberouter/dispatch/SharingSimulation.java
+++ b/src/test/java/org/jujuberouter/dispatch/SharingSimulation.java
@@ -154,6 +154,7 @@
         load.askedMs += load.workMs;
         load.waiting++;
         waiting.add(call);
+        shares.get(call.instance).recordArrival(requirements);
         queues.get(call.instance).add(call, requirements, ticker.nanos());
     }
 
