--- a/src/main/java/org/jujuberouter/gateway/CallTelemetry.java
+++ b/src/main/java/org/jujuberouter/gateway/CallTelemetry.java
@@ -25,6 +25,7 @@
     private String service = "";
     private String customer = "";
     private int waitLoggedForAttempt = -1;
+    private boolean deferralLogged;
     private long firstEventNanos;
     private long lastEventNanos;
     private long longestGapNanos;
@@ -77,15 +78,16 @@
         logWarning("silent endpoint", Map.entry("endpoint", endpoint.id()), Map.entry("for_ms", silenceMs));
     }
 
-    /** Logs that the call is queued, at most once per attempt. */
-    void waiting(PlacementDecision.Wait wait, int attempts) {
-        if (waitLoggedForAttempt != attempts) {
+    /** Logs that the call is queued, at most once per attempt and once when its customer's share is used up. */
+    void waiting(PlacementDecision.Wait wait, boolean deferred, int attempts) {
+        if (waitLoggedForAttempt != attempts || deferred && !deferralLogged) {
             waitLoggedForAttempt = attempts;
+            deferralLogged |= deferred;
             gateway.log()
                     .call(
                             "waits",
                             call,
-                            Map.entry("reason", wait.reason()),
+                            Map.entry("reason", deferred ? "share used up" : wait.reason()),
                             Map.entry("not_away", wait.notAway()),
                             Map.entry("tokens", call.promptTokens()));
         }
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -38,15 +38,6 @@
     /** Endpoints are a few milliseconds away; the rest of the shortest objective still suffices for a short prompt. */
     private static final int CONNECT_TIMEOUT_MS = 200;
 
-    /**
-     * Fraction of the caller's timeout after which a silent endpoint counts as failed. Overloaded engines still answer
-     * most calls within it.
-     */
-    private static final double MAX_SILENCE_FRACTION = 0.7;
-
-    /** Time beyond twice the predicted time to the first event before an endpoint counts as silent. */
-    private static final long SILENCE_MARGIN_MS = 300;
-
     private static final long RETRY_AFTER_MS = 500;
 
     /** Callers send a retry to another instance, which can take the call at once. */
@@ -73,6 +64,7 @@
     private boolean finished;
     private boolean mayHaveRun;
     private int attemptsReceived;
+    private int attemptsCharged;
     private int reservations;
     private Attempt attempt;
 
@@ -110,14 +102,15 @@
         deadlineNanos = telemetry.arrivedNanos() + TimeUnit.MILLISECONDS.toNanos(waitMs);
         deadlineTimer = gateway.loop().schedule(this::onDeadline, waitMs, TimeUnit.MILLISECONDS);
         requirements = new CallRequirements(
-                call.id(),
-                service.name(),
-                call.promptTokens(),
-                call.outputTokens(),
-                route.objectiveMs(),
-                route.gapObjectiveMs(),
-                Math.min(waitMs, route.callerTimeoutMs()),
-                body.readableBytes());
+                        call.id(),
+                        service.name(),
+                        call.promptTokens(),
+                        call.outputTokens(),
+                        route.objectiveMs(),
+                        route.gapObjectiveMs(),
+                        Math.min(waitMs, route.callerTimeoutMs()))
+                .withRequestBytes(body.readableBytes())
+                .claimedBy(customer, route, service);
         traits = CallTraits.of(call, service.name(), customer, head, body);
         if (!endIfQuarantined()) {
             gateway.retries(service.name()).recordRequest();
@@ -178,10 +171,11 @@
             return true;
         }
         double waitedMs = (gateway.ticker().nanos() - telemetry.arrivedNanos()) / 1e6;
-        switch (gateway.scheduler().place(requirements, service, triedEndpoints, waitedMs)) {
+        boolean deferred = gateway.isDeferred(requirements);
+        switch (gateway.scheduler().place(requirements, service, triedEndpoints, waitedMs, deferred)) {
             case PlacementDecision.Send send -> send(send);
             case PlacementDecision.Wait wait -> {
-                telemetry.waiting(wait, triedEndpoints.size());
+                telemetry.waiting(wait, deferred, triedEndpoints.size());
                 return false;
             }
             case PlacementDecision.Refuse refuse -> refuseOrFail(refuse.reason(), refuse.retryAfterMs());
@@ -197,7 +191,13 @@
 
     private void send(PlacementDecision.Send placement) {
         TrackedEndpoint endpoint = placement.endpoint();
-        gateway.allocate(placement.allocations(), remainingMs());
+        // Only the first attempt shows that capacity was scarce; later ones include the time at an endpoint.
+        long waitedMs = triedEndpoints.isEmpty() ? telemetry.elapsedMs() : 0;
+        // An attempt that its endpoint did not run is not charged, or prompts whose memory was refused would pay twice.
+        boolean charge = attemptsCharged <= attemptsReceived;
+        attemptsCharged += charge ? 1 : 0;
+        gateway.allocate(
+                placement.allocations(), charge ? requirements : requirements.charged(), remainingMs(), waitedMs);
         triedEndpoints.add(endpoint.registration().id());
         Attempt thisAttempt = new Attempt(endpoint);
         attempt = thisAttempt;
@@ -266,15 +266,13 @@
                 CONNECT_TIMEOUT_MS,
                 gateway.codec().write(head, body, outgoing),
                 thisAttempt);
-        long silenceMs = Math.max(
-                (long) (requirements.callerTimeoutMs() * MAX_SILENCE_FRACTION),
-                Math.round(2 * placement.predictedFirstEventMs()) + SILENCE_MARGIN_MS);
         if (thisAttempt == attempt) {
             thisAttempt.silence = SilenceCheck.start(
                     gateway.loop(),
-                    service.engine().isPresent()
-                            ? SilenceCheck.Limits.probed(silenceMs, placement.predictedFirstEventMs())
-                            : SilenceCheck.Limits.notProbed(silenceMs),
+                    SilenceCheck.Limits.of(
+                            requirements.callerTimeoutMs(),
+                            placement.predictedFirstEventMs(),
+                            service.engine().isPresent()),
                     thisAttempt::silentForMs,
                     listener -> gateway.probe().probe(endpoint, listener),
                     () -> onSilence(thisAttempt.silentForMs()));
--- a/src/main/java/org/jujuberouter/gateway/SilenceCheck.java
+++ b/src/main/java/org/jujuberouter/gateway/SilenceCheck.java
@@ -30,6 +30,15 @@
      * @param probeAfterMs the time after which it is probed, in milliseconds; at least the limit if it is not probed
      */
     record Limits(long limitMs, long probeAfterMs) {
+        /**
+         * Fraction of the caller's timeout after which a silent endpoint counts as failed. Overloaded engines still
+         * answer most calls within it.
+         */
+        private static final double MAX_SILENCE_FRACTION = 0.7;
+
+        /** Time beyond twice the predicted time to the first event before an endpoint counts as silent. */
+        private static final long SILENCE_MARGIN_MS = 300;
+
         /** Silence up to which no probe is sent, since most calls are answered by then. */
         private static final long MIN_PROBE_AFTER_MS = 1_000;
 
@@ -38,14 +47,13 @@
 
         private static final long PREDICTION_MARGIN_MS = 300;
 
-        /** Returns limits with probes for an endpoint whose first event is predicted after the given time. */
-        static Limits probed(long limitMs, double predictedFirstEventMs) {
+        /** Returns the limits for a call whose first event is predicted after the given time. */
+        static Limits of(long callerTimeoutMs, double predictedFirstEventMs, boolean probed) {
+            long limitMs = Math.max(
+                    (long) (callerTimeoutMs * MAX_SILENCE_FRACTION),
+                    Math.round(2 * predictedFirstEventMs) + SILENCE_MARGIN_MS);
             long expectedMs = Math.round(predictedFirstEventMs * PREDICTION_FACTOR) + PREDICTION_MARGIN_MS;
-            return new Limits(limitMs, Math.max(MIN_PROBE_AFTER_MS, expectedMs));
-        }
-
-        static Limits notProbed(long limitMs) {
-            return new Limits(limitMs, limitMs);
+            return new Limits(limitMs, probed ? Math.max(MIN_PROBE_AFTER_MS, expectedMs) : limitMs);
         }
     }
 
--- a/src/test/java/org/jujuberouter/dispatch/DomainSimulation.java
+++ b/src/test/java/org/jujuberouter/dispatch/DomainSimulation.java
@@ -225,8 +225,10 @@
     private void arrive(int domain) {
         RequestId id = RequestId.of("c" + calls.size() + "-" + random.nextInt(1_000_000));
         CallRequirements requirements = random.nextDouble() < longFraction
-                ? new CallRequirements(id, SERVICE, 40_000 + random.nextInt(120_000), 700, 2_500, 1_000, 10_000, 30_000)
-                : new CallRequirements(id, SERVICE, 2_000 + random.nextInt(6_000), 900, 300, 250, 2_000, 4_000);
+                ? new CallRequirements(id, SERVICE, 40_000 + random.nextInt(120_000), 700, 2_500, 1_000, 10_000)
+                        .withRequestBytes(30_000)
+                : new CallRequirements(id, SERVICE, 2_000 + random.nextInt(6_000), 900, 300, 250, 2_000)
+                        .withRequestBytes(4_000);
         Call call = new Call(domain, requirements, now());
         calls.add(call);
         List<Instance> own = instances.stream().filter(i -> i.domain == domain).toList();
