--- a/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
+++ b/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
@@ -45,6 +45,7 @@
             Map.entry("routing", Set.of()),
             Map.entry("limits", Set.of()),
             Map.entry("dispatch", Set.of("catalog")),
+            Map.entry("duty", Set.of()),
             Map.entry("memory", Set.of()),
             Map.entry("outcome", Set.of("error", "store")),
             Map.entry("orders", Set.of("store", "settings")),
