--- a/src/main/java/org/jujuberouter/control/ControlEntry.java
+++ b/src/main/java/org/jujuberouter/control/ControlEntry.java
@@ -2,8 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import org.jujuberouter.catalog.Catalog;
 import org.jujuberouter.catalog.Endpoint;
+import org.jujuberouter.id.CustomerId;
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
@@ -47,6 +49,21 @@
     /** The quarantine of a trait whose requests crash endpoints. */
     record Quarantine(RequestTrait trait) implements ControlEntry {}
 
+    /**
+     * The instance that makes the calls that only one instance at a time may make.
+     *
+     * @param revision the revision at which the key was created, which is the token of its calls
+     */
+    record DutyHolder(InstanceId instance, long revision) implements ControlEntry {}
+
+    /** The committed counts of executed requests per customer in one window. */
+    record UsageWindow(long window, Map<CustomerId, Long> counts) implements ControlEntry {
+        /** Copies the map. */
+        public UsageWindow {
+            counts = Map.copyOf(counts);
+        }
+    }
+
     /** A value that cannot be decoded or has an unsupported key. */
     record Unreadable(String reason) implements ControlEntry {}
 }
--- a/src/main/java/org/jujuberouter/control/ControlStore.java
+++ b/src/main/java/org/jujuberouter/control/ControlStore.java
@@ -23,8 +23,8 @@
     /** Registers this instance under a new lease; the listener receives null or the reason for a failure. */
     void register(InstanceId instance, InetSocketAddress peerAddress, long leaseMs, Consumer<String> listener);
 
-    /** Renews the lease of the registration; the listener receives false if this instance must register again. */
-    void renew(Consumer<Boolean> listener);
+    /** Renews the lease of the registration. */
+    void renew(Consumer<LeaseReply> listener);
 
     /**
      * Writes a quarantine that expires by itself, unless there is one; the listener receives null or the reason for a
@@ -36,6 +36,11 @@
     void writeCrash(
             EndpointId endpoint, InstanceId reporter, List<List<RequestTrait>> suspects, Consumer<String> listener);
 
+    /** Returns the access to the keys of the duties; their holder is registered under the same lease. */
+    default DutyStore duties() {
+        throw new UnsupportedOperationException("this store has no duties");
+    }
+
     /** Ends the lease of the registration. */
     void deregister(Runnable done);
 }
--- a/src/main/java/org/jujuberouter/duty/DutyControl.java
+++ b/src/main/java/org/jujuberouter/duty/DutyControl.java
@@ -56,6 +56,7 @@
     private long termStartedMs;
     private Optional<DutyTerm> knownTerm = Optional.empty();
     private boolean stopping;
+    private boolean ended;
     private Optional<Commit> openCommit = Optional.empty();
     private boolean committing;
     private boolean commitDelayed;
@@ -140,7 +141,7 @@
     }
 
     private boolean isReleaseDue() {
-        return stopping && hasOthers() && callsInFlight == 0 && !committing && term().isPresent();
+        return isLeaving() && callsInFlight == 0 && !committing && term().isPresent();
     }
 
     private void release() {
@@ -156,6 +157,17 @@
         stopping = true;
     }
 
+    /** Ends the duties before the process exits; leadership is released as soon as no call is in flight. */
+    public void end() {
+        stopping = true;
+        ended = true;
+    }
+
+    /** Returns whether this instance does not lead and has no call or write in flight. */
+    public boolean isIdle() {
+        return term().isEmpty() && callsInFlight == 0 && !committing;
+    }
+
     /** Returns the term while this instance is the leader; it may be used only if {@link #mayAct} holds. */
     public Optional<DutyTerm> term() {
         return election.term();
@@ -168,10 +180,7 @@
 
     /** Returns whether this instance is the leader, knows that its lease is held, and has seen all earlier terms. */
     public boolean mayAct() {
-        return term().isPresent()
-                && viewRevision >= term().get().token()
-                && !(stopping && hasOthers())
-                && lease.isCertain();
+        return term().isPresent() && viewRevision >= term().get().token() && !isLeaving() && lease.isCertain();
     }
 
     /** Returns whether a call of the given term may be sent at this moment. */
@@ -179,8 +188,9 @@
         return term().filter(term::equals).isPresent() && lease.isCertain();
     }
 
-    private boolean hasOthers() {
-        return listed.size() > 1;
+    /** Returns whether leadership is to be released; the last instance keeps it until its process ends. */
+    private boolean isLeaving() {
+        return ended || stopping && listed.size() > 1;
     }
 
     /** Takes the right to one call within the rate limit; the result has to be passed to {@link #callEnded}. */
--- a/src/main/java/org/jujuberouter/gateway/CallTelemetry.java
+++ b/src/main/java/org/jujuberouter/gateway/CallTelemetry.java
@@ -8,6 +8,7 @@
 import org.jujuberouter.dispatch.PlacementDecision;
 import org.jujuberouter.error.ExecutionOutcome;
 import org.jujuberouter.http.CallFailure;
+import org.jujuberouter.id.CustomerId;
 import org.jujuberouter.id.ServiceName;
 
 /** Records the timing of one call and reports its progress and outcome to the log and the metrics. */
@@ -24,6 +25,7 @@
     private String service = "";
     private String customer = "";
     private int waitLoggedForAttempt = -1;
+    private boolean executionCounted;
     private long firstEventNanos;
     private long lastEventNanos;
     private long longestGapNanos;
@@ -59,6 +61,7 @@
         boolean first = firstEventNanos == 0;
         if (first) {
             firstEventNanos = now;
+            executionBegan();
         } else {
             longestGapNanos = Math.max(longestGapNanos, now - lastEventNanos);
         }
@@ -66,6 +69,14 @@
         return first;
     }
 
+    /** Counts the request for its customer when an endpoint has begun to execute it, at most once. */
+    void executionBegan() {
+        if (!executionCounted && !customer.isEmpty()) {
+            executionCounted = true;
+            gateway.duties().ifPresent(d -> d.executed(CustomerId.of(customer)));
+        }
+    }
+
     /** Returns the time since the later of the last event and the given time, in milliseconds. */
     long msSinceLastEvent(long sinceNanos) {
         return (gateway.ticker().nanos() - Math.max(lastEventNanos, sinceNanos)) / 1_000_000;
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -377,6 +377,9 @@
             retryOrFail("an answer without the endpoint's signature");
             return false;
         }
+        if (!route.retryPolicy().isStream()) {
+            telemetry.executionBegan();
+        }
         if (answer.status() >= 500) {
             gateway.endpointFailed(attempt.endpoint);
             if (route.retryPolicy().isRetryable() && !response.hasStarted() && retry("status " + answer.status())) {
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -73,6 +73,7 @@
     private final CallQueue<Exchange> waitQueue = CallQueue.empty(ticker);
     private PeerLoadSync peerLoad;
     private CrashQuarantine crashes;
+    private Optional<DutySync> duties = Optional.empty();
     private Optional<Catalog> catalog = Optional.empty();
     private long previousIdleTimeoutMs;
     private int memoryReleases;
@@ -323,6 +324,16 @@
         crashes = quarantine;
     }
 
+    /** Sets the duties; not a constructor argument, since they refer to this object. */
+    void setDuties(DutySync sync) {
+        duties = Optional.of(sync);
+    }
+
+    /** Returns the duties; empty if the platform has none. */
+    Optional<DutySync> duties() {
+        return duties;
+    }
+
     CrashQuarantine crashes() {
         return crashes;
     }
@@ -413,6 +424,8 @@
             case ControlEntry.Peer p -> peerLoad.peerListed(p.instance(), p.address());
             case ControlEntry.Quarantine c -> crashes.onStored(c.trait());
             case ControlEntry.EndpointCrash c -> crashes.onStoredCrash(c.endpoint(), c.suspects());
+            case ControlEntry.DutyHolder h -> duties.ifPresent(d -> d.onWritten(h));
+            case ControlEntry.UsageWindow w -> duties.ifPresent(d -> d.onWritten(w));
             case ControlEntry.Unreadable u ->
                 log.stateChanged("unreadable entry", Map.entry("key", key), Map.entry("reason", u.reason()));
         }
@@ -455,6 +468,8 @@
                     crashes.onRemoved(c.trait());
                 }
             }
+            case ControlEntry.DutyHolder h -> duties.ifPresent(d -> d.onRemoved(h));
+            case ControlEntry.UsageWindow w -> duties.ifPresent(d -> d.onRemoved(w));
             case ControlEntry.Configuration _ ->
                 log.stateChanged("configuration deleted from the store; the last version stays in force");
             case ControlEntry.Unreadable _ -> log.stateChanged("unreadable entry removed", Map.entry("key", key));
--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -25,6 +25,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.jujuberouter.control.ControlStore;
+import org.jujuberouter.control.LeaseReply;
 import org.jujuberouter.control.StoreWatcher;
 import org.jujuberouter.dispatch.StopSchedule;
 import org.jujuberouter.misc.HeapReceiveBuffers;
@@ -74,6 +75,16 @@
         daemon.peerLoad = PeerLoadSync.start(daemon.gateway, watcher, daemon.loop, daemon.gateway.ticker(), options);
         daemon.gateway.setPeerLoad(daemon.peerLoad);
         daemon.gateway.setCrashes(new CrashQuarantine(daemon.gateway, daemon.store, daemon.peerLoad::broadcast));
+        options.duties()
+                .ifPresent(duties -> daemon.gateway.setDuties(DutySync.start(
+                        daemon.gateway,
+                        watcher,
+                        daemon.peerLoad,
+                        daemon.store.duties(),
+                        platform.dutyCalls(daemon.loop, duties.address(), options.instance()),
+                        options,
+                        duties,
+                        LEASE_MS)));
         daemon.loop.execute(() -> {
             watcher.start();
             daemon.register();
@@ -134,8 +145,12 @@
     }
 
     private void register() {
+        long sentNanos = gateway.ticker().nanos();
+        // The registration gets a new lease; a key under the old one is not renewed any more.
+        gateway.duties().ifPresent(DutySync::leaseLost);
         store.register(options.instance(), options.peers(), LEASE_MS, reason -> {
             if (reason == null) {
+                gateway.duties().ifPresent(d -> d.leaseRenewed(sentNanos));
                 loop.schedule(this::renew, RENEW_INTERVAL_MS, TimeUnit.MILLISECONDS);
             } else {
                 loop.schedule(this::register, REGISTER_RETRY_MS, TimeUnit.MILLISECONDS);
@@ -147,8 +162,12 @@
         if (deregistering) {
             return;
         }
-        store.renew(held -> {
-            if (held) {
+        long sentNanos = gateway.ticker().nanos();
+        store.renew(reply -> {
+            if (reply == LeaseReply.RENEWED) {
+                gateway.duties().ifPresent(d -> d.leaseRenewed(sentNanos));
+            }
+            if (reply != LeaseReply.LOST) {
                 loop.schedule(this::renew, RENEW_INTERVAL_MS, TimeUnit.MILLISECONDS);
             } else {
                 register();
@@ -166,6 +185,7 @@
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         loop.execute(() -> {
             gateway.stop();
+            gateway.duties().ifPresent(DutySync::stop);
             loop.scheduleAtFixedRate(
                     () -> checkDrained(stopped), DRAIN_CHECK_MS, DRAIN_CHECK_MS, TimeUnit.MILLISECONDS);
         });
@@ -182,6 +202,11 @@
         group.shutdownGracefully(0, CLOSE_TIMEOUT_MS, TimeUnit.MILLISECONDS).awaitUninterruptibly(2 * CLOSE_TIMEOUT_MS);
     }
 
+    private void deregister() {
+        store.deregister(() -> deregistered = true);
+        loop.schedule(() -> deregistered = true, DEREGISTER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    }
+
     private void checkDrained(CompletableFuture<Void> stopped) {
         StopSchedule schedule = gateway.stopSchedule();
         if (!schedule.isOutOfRotation()) {
@@ -195,8 +220,7 @@
             schedule.close();
             gateway.endCalls();
             listeners.forEach(Channel::close);
-            store.deregister(() -> deregistered = true);
-            loop.schedule(() -> deregistered = true, DEREGISTER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            gateway.duties().ifPresentOrElse(d -> d.end(this::deregister), this::deregister);
         } else if (ending && deregistered) {
             stopped.complete(null);
         }
--- a/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
@@ -76,6 +76,11 @@
         metrics.count("store_replies_total", "answered=\"" + answered + "\"", 1);
     }
 
+    /** Counts a call of the leader to the platform's API. */
+    void dutyCall(String duty, String result) {
+        metrics.count("duty_calls_total", "duty=\"" + duty + "\",result=\"" + result + "\"", 1);
+    }
+
     void gauge(String name, LongSupplier value) {
         metrics.gauge(name, value::getAsLong);
     }
--- a/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
@@ -17,6 +17,7 @@
  * @param metrics listen address for metrics; empty if they are not served
  * @param firstStart whether the whole system starts for the first time, so that no instance has run before
  * @param bounds limits set for the deployment
+ * @param duties calls that only one instance at a time may make; empty if there are none
  */
 public record GatewayOptions(
         InstanceId instance,
@@ -27,11 +28,12 @@
         InetSocketAddress store,
         Optional<InetSocketAddress> metrics,
         boolean firstStart,
-        ServingBounds bounds) {
+        ServingBounds bounds,
+        Optional<DutyOptions> duties) {
     /** Returns a copy of these options that serves metrics at the given port of the callers' address. */
     public GatewayOptions withMetricsPort(int port) {
         InetSocketAddress address = new InetSocketAddress(callers.getAddress(), port);
         return new GatewayOptions(
-                instance, domain, callers, readiness, peers, store, Optional.of(address), firstStart, bounds);
+                instance, domain, callers, readiness, peers, store, Optional.of(address), firstStart, bounds, duties);
     }
 }
--- a/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
+++ b/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
@@ -9,6 +9,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -60,7 +62,7 @@
     private final StoreProof proof;
     private final EventLoop loop;
     private final Ticker ticker;
-    private final InstanceId self;
+    private final Incarnation self;
     private final Map<RequestId, PlacedWork> ownWork = new HashMap<>();
     private final Map<RequestId, PlacedWork> peerWork = new LinkedHashMap<>();
     private final Map<InstanceId, InetSocketAddress> addresses = new HashMap<>();
@@ -70,27 +72,29 @@
     private List<InstanceId> proving;
     private int proofQueries;
     private boolean regroupScheduled;
+    private Set<InstanceId> listed;
+    private Optional<InstanceId> leader = Optional.empty();
     private PeerNetwork network;
 
     private record PlacedWork(InstanceId instance, long expiresAt, List<Allocation> allocations) {}
 
-    private PeerLoadSync(Gateway gateway, StoreWatcher watcher, EventLoop loop, Ticker ticker, InstanceId self) {
+    private PeerLoadSync(Gateway gateway, StoreWatcher watcher, EventLoop loop, Ticker ticker, Incarnation self) {
         this.gateway = gateway;
         this.watcher = watcher;
         this.proof = gateway.storeProof(watcher);
         this.loop = loop;
         this.ticker = ticker;
         this.self = self;
-        this.proving = List.of(self);
+        this.proving = List.of(self.instance());
     }
 
     /** Starts listening for peers. */
     static PeerLoadSync start(
             Gateway gateway, StoreWatcher watcher, EventLoop loop, Ticker ticker, GatewayOptions options)
             throws IOException {
-        PeerLoadSync sync = new PeerLoadSync(gateway, watcher, loop, ticker, options.instance());
         // The start time suffices as a number that increases with each start: no decision depends on it.
         Incarnation incarnation = Incarnation.of(options.instance(), System.currentTimeMillis());
+        PeerLoadSync sync = new PeerLoadSync(gateway, watcher, loop, ticker, incarnation);
         sync.network = PeerNetwork.startOn(loop, incarnation, options.domain(), options.peers(), ticker, sync);
         loop.scheduleAtFixedRate(sync::sweepWork, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(
@@ -101,7 +105,7 @@
     /** Records the address of an instance that the store lists. */
     void peerListed(InstanceId instance, InetSocketAddress address) {
         connectedUnlisted.remove(instance);
-        if (!instance.equals(self)) {
+        if (!instance.equals(self.instance())) {
             addresses.put(instance, address);
             membersChanged();
         }
@@ -128,6 +132,7 @@
     }
 
     private void membersChanged() {
+        listed = null;
         gateway.setInstanceCount(addresses.size() + 1);
         if (!regroupScheduled) {
             regroupScheduled = true;
@@ -139,12 +144,12 @@
     private void regroup() {
         regroupScheduled = false;
         Set<InstanceId> all = new HashSet<>(addresses.keySet());
-        all.add(self);
+        all.add(self.instance());
         int groups = InstanceGroups.groupCount(all.size());
         Map<InstanceId, Integer> assigned = InstanceGroups.assign(INSTANCE_GROUPS, all, groups);
-        int ownGroup = assigned.get(self);
+        int ownGroup = assigned.get(self.instance());
         Set<InstanceId> newMembers = new HashSet<>(all);
-        newMembers.removeIf(i -> i.equals(self) || assigned.get(i) != ownGroup);
+        newMembers.removeIf(i -> i.equals(self.instance()) || assigned.get(i) != ownGroup);
         if (groups != groupCount) {
             groupCount = groups;
             gateway.log()
@@ -160,14 +165,51 @@
                 removeWorkOf(former);
             }
         }
+        Set<InstanceId> formerMembers = members;
         members = newMembers;
         selectProving();
         gateway.registry().setGroup(ownGroup, groups);
-        // Only one side of each pair connects, which halves the number of connections.
-        network.connectTo(members.stream()
-                .filter(i -> i.compareTo(self) > 0)
-                .map(addresses::get)
-                .toList());
+        if (gateway.duties().isPresent()) {
+            // An instance that connected to report to the leader, or as the leader, was not sent the work.
+            members.stream()
+                    .filter(i -> !formerMembers.contains(i) && network.isConnected(i))
+                    .forEach(this::sendOwnWork);
+        }
+        connect();
+    }
+
+    /** Connects to the members of the group and to the leader; only one side of each pair of members connects. */
+    private void connect() {
+        Stream<InstanceId> wanted = Stream.concat(
+                members.stream().filter(i -> i.compareTo(self.instance()) > 0),
+                leader.stream().filter(i -> !members.contains(i)));
+        network.connectTo(
+                wanted.map(addresses::get).filter(Objects::nonNull).distinct().toList());
+    }
+
+    /** Sets the instance that receives the reports of this one. */
+    void setLeader(Optional<InstanceId> instance) {
+        if (!leader.equals(instance)) {
+            leader = instance;
+            connect();
+        }
+    }
+
+    /** Returns the instances that the store lists or that are connected, including this one. */
+    Set<InstanceId> listed() {
+        if (listed == null) {
+            listed = new HashSet<>(addresses.keySet());
+            listed.add(self.instance());
+        }
+        return listed;
+    }
+
+    boolean isConnected(InstanceId instance) {
+        return network.isConnected(instance);
+    }
+
+    Incarnation self() {
+        return self;
     }
 
     int groupCount() {
@@ -180,7 +222,7 @@
 
     void workStarted(List<Allocation> allocations, long remainingMs) {
         RequestId id = allocations.getFirst().id();
-        ownWork.put(id, new PlacedWork(self, expiresAt(remainingMs), allocations));
+        ownWork.put(id, new PlacedWork(self.instance(), expiresAt(remainingMs), allocations));
         network.broadcast(workStartedMessage(id, remainingMs, allocations), members);
     }
 
@@ -208,6 +250,7 @@
         InstanceId sender = from.peer().instance();
         switch (message) {
             case PeerMessage.ContactQuery query -> answer(from, query);
+            case PeerMessage.DutyMessage m -> gateway.duties().ifPresent(d -> d.onMessage(from, m));
             case PeerMessage.GatewayMessage gatewayMessage -> apply(sender, gatewayMessage);
             default -> LOG.log(System.Logger.Level.DEBUG, "[peer] ignored unexpected message {0}", message.getClass());
         }
@@ -217,9 +260,15 @@
     public void onConnected(Incarnation peer, FailureDomain domain) {
         gateway.log().stateChanged("peer connected", Map.entry("peer", peer));
         selectProving();
+        if (gateway.duties().isEmpty() || members.contains(peer.instance())) {
+            sendOwnWork(peer.instance());
+        }
+    }
+
+    private void sendOwnWork(InstanceId peer) {
         for (Map.Entry<RequestId, PlacedWork> e : ownWork.entrySet()) {
             long remainingMs = TimeUnit.NANOSECONDS.toMillis(e.getValue().expiresAt - ticker.nanos());
-            send(peer.instance(), workStartedMessage(e.getKey(), Math.max(0, remainingMs), e.getValue().allocations));
+            send(peer, workStartedMessage(e.getKey(), Math.max(0, remainingMs), e.getValue().allocations));
         }
     }
 
@@ -227,6 +276,9 @@
     public void onDisconnected(Incarnation peer) {
         gateway.log().stateChanged("peer disconnected", Map.entry("peer", peer));
         selectProving();
+        if (!network.isConnected(peer.instance())) {
+            gateway.duties().ifPresent(d -> d.onDisconnected(peer));
+        }
         if (connectedUnlisted.remove(peer.instance())) {
             peerUnlisted(peer.instance(), true);
         }
@@ -246,8 +298,8 @@
             case PeerMessage.EndpointFailed m ->
                 gateway.registry().find(m.endpoint()).ifPresent(e -> e.recordPeerFailure(ticker.nanos()));
             case PeerMessage.CrashMessage m -> gateway.crashes().onPeerMessage(m);
-            case PeerMessage.ContactQuery _ -> {
-                // Handled in onMessage, since the report is sent on the same connection.
+            case PeerMessage.ContactQuery _, PeerMessage.DutyMessage _ -> {
+                // Handled in onMessage, since the reply is sent on the same connection.
             }
         }
     }
@@ -274,16 +326,16 @@
      * different ones, the store is asked more often than needed.
      */
     private void selectProving() {
-        proving = Stream.concat(Stream.of(self), members.stream().filter(network::isConnected))
+        proving = Stream.concat(Stream.of(self.instance()), members.stream().filter(network::isConnected))
                 .sorted()
                 .limit(PROVING_INSTANCES)
                 .toList();
-        watcher.setProvesForOthers(proving.contains(self) && !members.isEmpty());
+        watcher.setProvesForOthers(proving.contains(self.instance()) && !members.isEmpty());
     }
 
     /** Asks one of the instances that prove the view of the store, unless this instance is one of them. */
     private void queryProof() {
-        if (!proving.contains(self)) {
+        if (!proving.contains(self.instance())) {
             send(proving.get(proofQueries++ % proving.size()), new PeerMessage.ContactQuery(ticker.nanos()));
         }
         watcher.checkProof();
@@ -333,7 +385,8 @@
         found.forEach(this::removeWork);
     }
 
-    private void send(InstanceId to, PeerMessage message) {
+    /** Sends a message to a peer that is connected. */
+    void send(InstanceId to, PeerMessage message) {
         try {
             network.send(to, message);
         } catch (PeerException e) {
--- a/src/main/java/org/jujuberouter/http/JsonClient.java
+++ b/src/main/java/org/jujuberouter/http/JsonClient.java
@@ -28,6 +28,7 @@
 import java.util.Deque;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.jujuberouter.misc.Json;
 
@@ -61,6 +62,7 @@
             Map<String, String> headers,
             byte[] body,
             long timeoutMs,
+            BooleanSupplier maySend,
             Consumer<JsonReply> listener) {}
 
     /**
@@ -85,7 +87,22 @@
             byte[] body,
             long timeoutMs,
             Consumer<JsonReply> listener) {
-        queue.add(new Pending(method, path, headers, body, timeoutMs, listener));
+        call(method, path, headers, body, timeoutMs, () -> true, listener);
+    }
+
+    /**
+     * Queues a call that is sent only if the condition holds when its connection is established; otherwise it fails.
+     * Connecting may take as long as the timeout, and longer if the process is paused meanwhile.
+     */
+    public void call(
+            String method,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            long timeoutMs,
+            BooleanSupplier maySend,
+            Consumer<JsonReply> listener) {
+        queue.add(new Pending(method, path, headers, body, timeoutMs, maySend, listener));
         sendNext();
     }
 
@@ -144,6 +161,10 @@
     }
 
     private void write(Pending call) {
+        if (!call.maySend.getAsBoolean()) {
+            finish(new JsonReply.NoResponse(address, "the call is not permitted any more"));
+            return;
+        }
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(call.method),
--- a/src/main/java/org/jujuberouter/peer/FieldWriter.java
+++ b/src/main/java/org/jujuberouter/peer/FieldWriter.java
@@ -145,6 +145,8 @@
                 messageHeader(PeerCodec.TRAIT_ANSWERED, 2).text(m.trait()).number(m.ageMillis());
             case TraitQuarantined m ->
                 messageHeader(PeerCodec.TRAIT_QUARANTINED, 2).text(m.trait()).number(m.remainingMillis());
+            case PeerMessage.DutyReport m -> DutyFields.write(messageHeader(PeerCodec.DUTY_REPORT, 5), m.report());
+            case PeerMessage.DutyReply m -> DutyFields.write(messageHeader(PeerCodec.DUTY_REPLY, 3), m.reply());
         }
     }
 
@@ -289,22 +291,22 @@
         }
     }
 
-    private FieldWriter messageHeader(int type, int fields) throws IOException {
+    FieldWriter messageHeader(int type, int fields) throws IOException {
         out.packArrayHeader(fields + 1).packInt(type);
         return this;
     }
 
-    private FieldWriter incarnation(Incarnation incarnation) throws IOException, PeerException {
+    FieldWriter incarnation(Incarnation incarnation) throws IOException, PeerException {
         return text(incarnation.instance()).number(incarnation.number());
     }
 
     /** Writes a ticker time, which may be negative because the origin of a ticker is arbitrary. */
-    private FieldWriter tickerTime(long nanos) throws IOException {
+    FieldWriter tickerTime(long nanos) throws IOException {
         out.packLong(nanos);
         return this;
     }
 
-    private FieldWriter number(long value) throws IOException, PeerException {
+    FieldWriter number(long value) throws IOException, PeerException {
         if (value < 0) {
             throw PeerException.of(Kind.MALFORMED, "number", "the number " + value + " is negative");
         }
@@ -312,7 +314,7 @@
         return this;
     }
 
-    private FieldWriter decimal(double value) throws IOException, PeerException {
+    FieldWriter decimal(double value) throws IOException, PeerException {
         if (!(value >= 0) || Double.isInfinite(value)) {
             throw PeerException.of(Kind.MALFORMED, "number", "the number " + value + " is not finite and at least 0");
         }
@@ -321,7 +323,7 @@
     }
 
     /** Writes an id or a string as text. */
-    private FieldWriter text(Object value) throws IOException, PeerException {
+    FieldWriter text(Object value) throws IOException, PeerException {
         byte[] bytes = value.toString().getBytes(StandardCharsets.UTF_8);
         PeerCodec.requireAtMost("text size", bytes.length, PeerCodec.MAX_TEXT_BYTES);
         out.packRawStringHeader(bytes.length).writePayload(bytes);
@@ -336,7 +338,13 @@
         return text(value);
     }
 
-    private void list(String what, int limit, Collection<?> values) throws IOException, PeerException {
+    /** Starts a nested group of fields. */
+    FieldWriter group(int fields) throws IOException {
+        out.packArrayHeader(fields);
+        return this;
+    }
+
+    void list(String what, int limit, Collection<?> values) throws IOException, PeerException {
         PeerCodec.requireAtMost("count of " + what, values.size(), limit);
         out.packArrayHeader(values.size());
     }
--- a/src/main/java/org/jujuberouter/peer/PeerCodec.java
+++ b/src/main/java/org/jujuberouter/peer/PeerCodec.java
@@ -19,6 +19,8 @@
 import org.jujuberouter.peer.PeerMessage.ContactReport;
 import org.jujuberouter.peer.PeerMessage.CrashNotice;
 import org.jujuberouter.peer.PeerMessage.CustomerDemand;
+import org.jujuberouter.peer.PeerMessage.DutyReply;
+import org.jujuberouter.peer.PeerMessage.DutyReport;
 import org.jujuberouter.peer.PeerMessage.EndpointCrashed;
 import org.jujuberouter.peer.PeerMessage.EndpointDigest;
 import org.jujuberouter.peer.PeerMessage.EndpointFailed;
@@ -105,6 +107,15 @@
     /** The maximum number of traits of a call: the parts of its prompt that count, and the whole request. */
     public static final int MAX_TRAITS = 32;
 
+    /** The maximum number of windows and sources in a duty report; those of 12 windows and a few departed instances. */
+    public static final int MAX_WINDOWS = 1024;
+
+    /** The maximum number of customers in a window; a report of two windows of this size fits into a frame. */
+    public static final int MAX_CUSTOMERS = 8192;
+
+    /** The maximum number of services in a duty report. */
+    public static final int MAX_SERVICES = 1024;
+
     /** The size of the length prefix of a frame. */
     static final int LENGTH_BYTES = 4;
 
@@ -133,6 +144,8 @@
     static final int ENDPOINT_CRASHED = 22;
     static final int TRAIT_ANSWERED = 23;
     static final int TRAIT_QUARANTINED = 24;
+    static final int DUTY_REPORT = 25;
+    static final int DUTY_REPLY = 26;
 
     static final int AT_ENDPOINT = 0;
     static final int ANY_OF = 1;
@@ -235,6 +248,8 @@
                         fields,
                         2,
                         r -> new TraitQuarantined(r.id("trait", RequestTrait::of), r.number("time left")));
+            case DUTY_REPORT -> readFields(in, "DutyReport", fields, 5, r -> new DutyReport(DutyFields.readReport(r)));
+            case DUTY_REPLY -> readFields(in, "DutyReply", fields, 3, r -> new DutyReply(DutyFields.readReply(r)));
             default -> throw PeerException.of(Kind.UNKNOWN_TYPE, type);
         };
     }
@@ -373,7 +388,7 @@
         });
     }
 
-    private static Incarnation incarnation(FieldReader in) throws IOException, PeerException {
+    static Incarnation incarnation(FieldReader in) throws IOException, PeerException {
         InstanceId instance = in.id("instance", InstanceId::of);
         return Incarnation.of(instance, in.number("incarnation"));
     }
--- a/src/main/java/org/jujuberouter/peer/PeerMessage.java
+++ b/src/main/java/org/jujuberouter/peer/PeerMessage.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.jujuberouter.duty.InstanceReport;
+import org.jujuberouter.duty.LeaderReply;
 import org.jujuberouter.id.CustomerId;
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
@@ -409,6 +411,15 @@
     /** Reports that an endpoint failed a call of the sender, so that other instances avoid it for a while. */
     record EndpointFailed(EndpointId endpoint) implements GatewayMessage {}
 
+    /** A message between an instance and the leader. */
+    sealed interface DutyMessage extends GatewayMessage {}
+
+    /** Reports the executed requests and the demand of the sender to the leader. */
+    record DutyReport(InstanceReport report) implements DutyMessage {}
+
+    /** The leader's reply to a report. */
+    record DutyReply(LeaderReply reply) implements DutyMessage {}
+
     /** A message between gateway instances about requests that crash endpoints. */
     sealed interface CrashMessage extends GatewayMessage {}
 
--- a/src/main/java/org/jujuberouter/peer/SampleMessages.java
+++ b/src/main/java/org/jujuberouter/peer/SampleMessages.java
@@ -3,7 +3,12 @@
 import java.time.Duration;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.jujuberouter.duty.InstanceReport;
+import org.jujuberouter.duty.LeaderReply;
+import org.jujuberouter.duty.ServiceDemand;
+import org.jujuberouter.duty.WindowCounts;
 import org.jujuberouter.id.CustomerId;
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
@@ -92,6 +97,14 @@
                         ENDPOINT, 40, List.of(new PeerMessage.SuspectCall(List.of(TRAIT, TRAIT)))),
                 new PeerMessage.TraitAnswered(TRAIT, 1_200),
                 new PeerMessage.TraitQuarantined(TRAIT, 600_000),
+                new PeerMessage.DutyReport(new InstanceReport(
+                        1_767_225_600_000L,
+                        86_400_000,
+                        1_767_225_600_012L,
+                        List.of(new WindowCounts(HOLDER, 353_445_120, Map.of(CUSTOMER, 412L))),
+                        List.of(new ServiceDemand(
+                                ServiceName.of("assistant"), FailureDomain.of("khon-kaen"), 91_000.5, 2e6, 3, 17)))),
+                new PeerMessage.DutyReply(new LeaderReply(-12, 353_445_119, 86_400_000)),
                 new SettingsPull(1_912),
                 new SettingsPush(1_913, new byte[126_000]));
     }
--- a/src/main/java/org/jujuberouter/platform/HttpPlatformAdapter.java
+++ b/src/main/java/org/jujuberouter/platform/HttpPlatformAdapter.java
@@ -4,8 +4,10 @@
 import java.net.InetSocketAddress;
 import org.jujuberouter.control.ControlStore;
 import org.jujuberouter.gateway.CallCodec;
+import org.jujuberouter.gateway.DutyCalls;
 import org.jujuberouter.gateway.MemoryReservations;
 import org.jujuberouter.gateway.PlatformAdapter;
+import org.jujuberouter.id.InstanceId;
 
 /** Adapter to the users' platform: its call headers, its key-value store and its engines' HTTP interface. */
 public final class HttpPlatformAdapter implements PlatformAdapter {
@@ -26,6 +28,11 @@
         return KvControlStore.at(loop, address);
     }
 
+    @Override
+    public DutyCalls dutyCalls(EventLoop loop, InetSocketAddress address, InstanceId instance) {
+        return HttpDutyCalls.at(loop, address, instance);
+    }
+
     @Override
     public MemoryReservations reservations(EventLoop loop) {
         return HttpMemoryReservations.on(loop);
--- a/src/main/java/org/jujuberouter/platform/KvControlStore.java
+++ b/src/main/java/org/jujuberouter/platform/KvControlStore.java
@@ -15,6 +15,8 @@
 import org.jujuberouter.control.ControlEvent;
 import org.jujuberouter.control.ControlReply;
 import org.jujuberouter.control.ControlStore;
+import org.jujuberouter.control.DutyStore;
+import org.jujuberouter.control.LeaseReply;
 import org.jujuberouter.http.JsonClient;
 import org.jujuberouter.http.JsonReply;
 import org.jujuberouter.id.EndpointId;
@@ -167,13 +169,26 @@
     }
 
     @Override
-    public void renew(Consumer<Boolean> listener) {
+    public void renew(Consumer<LeaseReply> listener) {
         client.call("POST", "/v1/kv-keep/" + lease, new byte[0], CALL_TIMEOUT_MS, reply -> {
-            // The lease is lost only if the store says so; without a response it may still be held.
-            listener.accept(!(reply instanceof JsonReply.Response r && r.status() == 404));
+            listener.accept(leaseReply(reply));
         });
     }
 
+    /** Returns what a reply says of the lease, which is lost only if the store says so. */
+    private static LeaseReply leaseReply(JsonReply reply) {
+        return switch (reply) {
+            case JsonReply.Response r when r.status() == 200 -> LeaseReply.RENEWED;
+            case JsonReply.Response r when r.status() == 404 -> LeaseReply.LOST;
+            default -> LeaseReply.UNANSWERED;
+        };
+    }
+
+    @Override
+    public DutyStore duties() {
+        return KvDutyStore.of(client, () -> lease);
+    }
+
     @Override
     public void deregister(Runnable done) {
         client.call("DELETE", "/v1/kv-lease-end/" + lease, null, CALL_TIMEOUT_MS, _ -> done.run());
@@ -191,7 +206,9 @@
             return new ControlEvent.Removed(key, revision);
         }
         return new ControlEvent.Written(
-                key, revision, KvValueCodec.decode(key, item.path("Value").asText()));
+                key,
+                revision,
+                KvValueCodec.decode(key, revision, item.path("Value").asText()));
     }
 
     private static ControlReply.Failed failed(String operation, JsonReply reply) {
--- a/src/main/java/org/jujuberouter/platform/KvValueCodec.java
+++ b/src/main/java/org/jujuberouter/platform/KvValueCodec.java
@@ -8,10 +8,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.control.ControlEntry;
+import org.jujuberouter.id.CustomerId;
 import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
@@ -23,8 +27,11 @@
 final class KvValueCodec {
     private KvValueCodec() {}
 
-    /** Decodes the value of a key; an invalid value gives {@link ControlEntry.Unreadable} with the reason. */
-    static ControlEntry decode(String key, String base64) {
+    /**
+     * Decodes the value that a key has since the given revision; an invalid value gives {@link ControlEntry.Unreadable}
+     * with the reason.
+     */
+    static ControlEntry decode(String key, long revision, String base64) {
         try {
             if (key.startsWith(StoreKeys.EVACUATIONS)) {
                 return new ControlEntry.Evacuation(FailureDomain.of(key.substring(StoreKeys.EVACUATIONS.length())));
@@ -47,6 +54,13 @@
                 String id = key.substring(StoreKeys.CRASHES.length()).split("/")[0];
                 return new ControlEntry.EndpointCrash(EndpointId.of(id), suspects(Json.MAPPER.readTree(value)));
             }
+            if (key.equals(StoreKeys.DUTY_HOLDER)) {
+                return new ControlEntry.DutyHolder(InstanceId.of(new String(value, StandardCharsets.UTF_8)), revision);
+            }
+            if (key.startsWith(StoreKeys.USAGE_WINDOWS)) {
+                long window = Long.parseLong(key.substring(StoreKeys.USAGE_WINDOWS.length()));
+                return new ControlEntry.UsageWindow(window, counts(Json.MAPPER.readTree(value)));
+            }
             return new ControlEntry.Unreadable("unknown key");
         } catch (IOException | IllegalArgumentException e) {
             return new ControlEntry.Unreadable(String.valueOf(e.getMessage()));
@@ -75,6 +89,24 @@
         return calls.toString().getBytes(StandardCharsets.UTF_8);
     }
 
+    private static Map<CustomerId, Long> counts(JsonNode value) {
+        Map<CustomerId, Long> counts = new HashMap<>();
+        value.properties().forEach(e -> {
+            if (!e.getValue().canConvertToLong()) {
+                throw new IllegalArgumentException("the count of " + e.getKey() + " is no number: " + e.getValue());
+            }
+            counts.put(CustomerId.of(e.getKey()), e.getValue().asLong());
+        });
+        return counts;
+    }
+
+    /** Returns counts per customer as an object with the customers' names in order. */
+    static ObjectNode counts(Map<CustomerId, Long> counts) {
+        ObjectNode value = Json.MAPPER.createObjectNode();
+        new TreeMap<>(counts).forEach((customer, n) -> value.put(customer.value(), n));
+        return value;
+    }
+
     static byte[] encodePeer(InetSocketAddress address) {
         ObjectNode value = Json.MAPPER.createObjectNode().put("peers", Addresses.format(address));
         return value.toString().getBytes(StandardCharsets.UTF_8);
--- a/src/main/java/org/jujuberouter/platform/NodeFile.java
+++ b/src/main/java/org/jujuberouter/platform/NodeFile.java
@@ -5,7 +5,11 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
+import org.jujuberouter.duty.DutySettings;
+import org.jujuberouter.gateway.DutyOptions;
 import org.jujuberouter.gateway.GatewayOptions;
 import org.jujuberouter.gateway.ServingBounds;
 import org.jujuberouter.id.FailureDomain;
@@ -20,6 +24,9 @@
     /** Path used if the variable is not set. */
     public static final String DEFAULT_PATH = "/etc/jujuberouter/node.json";
 
+    /** Rate limit of the leader's calls if none is given; enough for the reports and a few orders. */
+    private static final double DEFAULT_DUTY_CALLS_PER_S = 2;
+
     private NodeFile() {}
 
     /** Reads the options of this instance; unknown fields are ignored. */
@@ -41,12 +48,31 @@
                     Addresses.parse(KvValueCodec.text(node.path("Platform"), "Address")),
                     Optional.empty(),
                     node.path("Bootstrap").asBoolean(),
-                    bounds(node.path("Bounds")));
+                    bounds(node.path("Bounds")),
+                    duties(node.path("Cloud"), node.path("Bounds")));
         } catch (IllegalArgumentException e) {
             throw new IOException(file + ": " + e.getMessage(), e);
         }
     }
 
+    /** Reads the duties; the token is sent with each call, whether or not {@code RequireFencing} is set. */
+    private static Optional<DutyOptions> duties(JsonNode cloud, JsonNode bounds) {
+        if (!cloud.isObject()) {
+            return Optional.empty();
+        }
+        Set<String> names = new HashSet<>();
+        cloud.path("Duties").forEach(d -> names.add(d.asText()));
+        return Optional.of(new DutyOptions(
+                Addresses.parse(KvValueCodec.text(cloud, "Address")),
+                new DutySettings(
+                        names.contains("usage_report"),
+                        names.contains("autoscale"),
+                        cloud.path("DutyPerS").asDouble(DEFAULT_DUTY_CALLS_PER_S),
+                        bounds.path("LeaseMs").asLong(3_000),
+                        bounds.path("ThawMs").asLong(300),
+                        Math.round(bounds.path("ReportWindowS").asDouble(5) * 1_000))));
+    }
+
     private static ServingBounds bounds(JsonNode b) {
         return new ServingBounds(
                 b.path("RevokeMs").asLong(5_000),
--- a/src/main/java/org/jujuberouter/platform/PlatformHeaders.java
+++ b/src/main/java/org/jujuberouter/platform/PlatformHeaders.java
@@ -35,5 +35,11 @@
     /** Id of the last stream event that the sender has received. */
     static final String LAST_EVENT_ID = "Last-Event-Id";
 
+    /** Name of the instance that makes a call that only one at a time may make. */
+    static final String LEASE_HOLDER = "X-Jujuberouter-Lease-Holder";
+
+    /** Token of the term in which the call is made; the platform refuses lower ones than it has seen. */
+    static final String FENCING_TOKEN = "X-Jujuberouter-Fencing-Token";
+
     private PlatformHeaders() {}
 }
--- a/src/main/java/org/jujuberouter/platform/StoreKeys.java
+++ b/src/main/java/org/jujuberouter/platform/StoreKeys.java
@@ -20,5 +20,11 @@
     /** Prefix of crashes of endpoints; followed by the endpoint's id, a slash and the id of the reporting instance. */
     static final String CRASHES = "crashes/";
 
+    /** The instance that holds the duties. */
+    static final String DUTY_HOLDER = "duties/holder";
+
+    /** Prefix of the committed usage reports; followed by the number of the window. */
+    static final String USAGE_WINDOWS = "duties/usage/";
+
     private StoreKeys() {}
 }
--- a/src/main/java/org/jujuberouter/platform/standin/StandinSite.java
+++ b/src/main/java/org/jujuberouter/platform/standin/StandinSite.java
@@ -13,6 +13,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import org.jujuberouter.misc.Json;
 
@@ -37,6 +38,8 @@
     private final List<EngineStandin> engines = new ArrayList<>();
     private final List<EngineStandin> ledgers = new ArrayList<>();
     private long version;
+    private Optional<InetSocketAddress> cloud = Optional.empty();
+    private double reportWindowS;
 
     private StandinSite(KvStandin store) {
         this.store = store;
@@ -72,6 +75,12 @@
         return List.copyOf(ledgers);
     }
 
+    /** Adds the platform's API, with both duties, to the node files that are written from now on. */
+    public void setCloud(InetSocketAddress address, double windowS) {
+        cloud = Optional.of(address);
+        reportWindowS = windowS;
+    }
+
     /** Writes a new version of the configuration, with the customer's key or another one in its place. */
     public void configure(boolean withKey) {
         configure(List.of("another-key"), List.of(withKey ? KEY : "its-second-key"));
@@ -168,7 +177,14 @@
         int peers = freePort();
         node.putArray("PortRange").add(peers).add(peers);
         node.putObject("Platform").put("Address", "127.0.0.1:" + storePort);
-        node.putObject("Bounds").put("RevokeMs", 5_000).put("GraceS", 8).put("RetryBudgetRatio", 0.2);
+        ObjectNode bounds = node.putObject("Bounds");
+        bounds.put("RevokeMs", 5_000).put("GraceS", 8).put("RetryBudgetRatio", 0.2);
+        cloud.ifPresent(address -> {
+            bounds.put("RequireFencing", true).put("ReportWindowS", reportWindowS);
+            ObjectNode entry = node.putObject("Cloud");
+            entry.put("Address", "127.0.0.1:" + address.getPort()).put("DutyPerS", 5);
+            entry.putArray("Duties").add("usage_report").add("autoscale");
+        });
         Files.writeString(file, node.toString());
         return new InetSocketAddress("127.0.0.1", front);
     }
--- a/src/test/java/org/jujuberouter/control/StoreWatcherTest.java
+++ b/src/test/java/org/jujuberouter/control/StoreWatcherTest.java
@@ -102,7 +102,7 @@
         public void register(InstanceId instance, InetSocketAddress peers, long leaseMs, Consumer<String> answer) {}
 
         @Override
-        public void renew(Consumer<Boolean> answer) {}
+        public void renew(Consumer<LeaseReply> answer) {}
 
         @Override
         public void writeCrash(
--- a/src/test/java/org/jujuberouter/gateway/StoreProofSimulationTest.java
+++ b/src/test/java/org/jujuberouter/gateway/StoreProofSimulationTest.java
@@ -20,6 +20,7 @@
 import org.jujuberouter.control.ControlEvent;
 import org.jujuberouter.control.ControlReply;
 import org.jujuberouter.control.ControlStore;
+import org.jujuberouter.control.LeaseReply;
 import org.jujuberouter.control.StoreListener;
 import org.jujuberouter.control.StoreWatcher;
 import org.jujuberouter.dispatch.StoreFreshness;
@@ -309,7 +310,7 @@
         public void register(InstanceId id, InetSocketAddress peers, long leaseMs, Consumer<String> listener) {}
 
         @Override
-        public void renew(Consumer<Boolean> listener) {}
+        public void renew(Consumer<LeaseReply> listener) {}
 
         @Override
         public void writeCrash(
--- a/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
+++ b/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
@@ -24,7 +24,7 @@
              "ColdRemainingMs":700,"Sequence":4,"born":1700000000000}""";
 
     private static ControlEntry decode(String key, String value) {
-        return KvValueCodec.decode(key, Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)));
+        return KvValueCodec.decode(key, 1, Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)));
     }
 
     private static void assertUnreadable(String value) {
@@ -52,7 +52,7 @@
         assertUnreadable(ENTRY.replace("700", "\"soon\""));
         assertUnreadable(ENTRY.replace("10.128.0.9:8080", "engine.example:80"));
         assertUnreadable(ENTRY.replace("10.128.0.9:8080", "10.128.0.9:port"));
-        assertInstanceOf(ControlEntry.Unreadable.class, KvValueCodec.decode("servers/i-1", "%%%"));
+        assertInstanceOf(ControlEntry.Unreadable.class, KvValueCodec.decode("servers/i-1", 1, "%%%"));
     }
 
     /** Another writer may leave any value among the registrations; it must not end the process that reads it. */
