--- a/src/test/java/org/jujuberouter/gateway/DutySyncTest.java
+++ b/src/test/java/org/jujuberouter/gateway/DutySyncTest.java
@@ -89,7 +89,7 @@
         InstanceFixture.Instance second = start("second");
         for (int i = 0; i < 10; i++) {
             send(first, "/read/x", "plain-" + i);
-            send(second, "/chat/x", "stream-" + i);
+            send(second, "/chat/stream", "stream-" + i);
         }
         awaitTotal();
         assertEquals(1, accepted().map(Call::token).distinct().count());
