--- a/src/main/java/org/jujuberouter/duty/DutyControl.java
+++ b/src/main/java/org/jujuberouter/duty/DutyControl.java
@@ -1,11 +1,9 @@
 package org.jujuberouter.duty;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.jujuberouter.id.CustomerId;
 import org.jujuberouter.id.Incarnation;
 import org.jujuberouter.id.InstanceId;
@@ -50,7 +48,7 @@
     private final UsageCounts counts = UsageCounts.empty();
     private final ReporterTable reporters = ReporterTable.empty();
     private final CommittedWindows windows;
-    private final long callIntervalNanos;
+    private final CallRate callRate;
     private Collection<InstanceId> listed;
     private long viewRevision;
     private long termStartedMs;
@@ -63,8 +61,6 @@
     private long commitFailedMs;
     private boolean sendingUsage;
     private int callsInFlight;
-    private boolean called;
-    private long calledAt;
     private boolean reported;
     private long reportedMs;
     private long reportedWindow;
@@ -90,7 +86,7 @@
         this.election = HolderElection.of(ticker, self.instance(), settings.alternationMs(), firstStart);
         this.time = TrueTime.of(ticker, wallClock);
         this.windows = CommittedWindows.empty(ticker);
-        this.callIntervalNanos = (long) (TimeUnit.SECONDS.toNanos(1) / settings.callsPerSecond());
+        this.callRate = CallRate.of(ticker, settings.callsPerSecond());
         this.listed = List.of(self.instance());
     }
 
@@ -195,11 +191,9 @@
 
     /** Takes the right to one call within the rate limit; the result has to be passed to {@link #callEnded}. */
     public boolean beginCall() {
-        if (!mayAct() || called && ticker.nanos() - calledAt < callIntervalNanos) {
+        if (!mayAct() || !callRate.tryAcquire()) {
             return false;
         }
-        called = true;
-        calledAt = ticker.nanos();
         callsInFlight++;
         election.called();
         return true;
@@ -284,7 +278,7 @@
 
     /**
      * Returns a report, which is to be sent at once. It includes what this instance, as a former leader, has learned
-     * from instances that have ended since.
+     * from instances that have ended since; the leader has all that it knows already.
      */
     public InstanceReport report(List<ServiceDemand> demand) {
         reported = true;
@@ -292,12 +286,9 @@
         long now = time.nowMs();
         reportedWindow = windowOf(now);
         time.reported();
-        List<WindowCounts> included = new ArrayList<>();
-        for (WindowCounts w : counts.all()) {
-            if (w.source().equals(self) || !listed.contains(w.source().instance())) {
-                included.add(w);
-            }
-        }
+        List<WindowCounts> included = term().isPresent()
+                ? List.of()
+                : counts.from(source -> source.equals(self) || !listed.contains(source.instance()));
         return new InstanceReport(time.wallMs(), time.uptimeMs(), now, included, demand);
     }
 
--- a/src/main/java/org/jujuberouter/duty/UsageCounts.java
+++ b/src/main/java/org/jujuberouter/duty/UsageCounts.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.jujuberouter.id.CustomerId;
 import org.jujuberouter.id.Incarnation;
 
@@ -53,11 +54,14 @@
         windows.headMap(window, true).clear();
     }
 
-    /** Returns the counts of all windows and sources. */
-    List<WindowCounts> all() {
-        List<WindowCounts> all = new ArrayList<>();
-        windows.forEach((window, sources) ->
-                sources.forEach((source, counts) -> all.add(new WindowCounts(source, window, counts))));
-        return all;
+    /** Returns the counts of all windows from the sources that fulfil the condition. */
+    List<WindowCounts> from(Predicate<Incarnation> condition) {
+        List<WindowCounts> found = new ArrayList<>();
+        windows.forEach((window, sources) -> sources.forEach((source, counts) -> {
+            if (condition.test(source)) {
+                found.add(new WindowCounts(source, window, counts));
+            }
+        }));
+        return found;
     }
 }
--- a/src/main/java/org/jujuberouter/platform/NodeFile.java
+++ b/src/main/java/org/jujuberouter/platform/NodeFile.java
@@ -62,6 +62,9 @@
         }
         Set<String> names = new HashSet<>();
         cloud.path("Duties").forEach(d -> names.add(d.asText()));
+        if (!names.contains("usage_report") && !names.contains("autoscale")) {
+            return Optional.empty();
+        }
         return Optional.of(new DutyOptions(
                 Addresses.parse(KvValueCodec.text(cloud, "Address")),
                 new DutySettings(
--- a/src/test/java/org/jujuberouter/platform/NodeFileTest.java
+++ b/src/test/java/org/jujuberouter/platform/NodeFileTest.java
@@ -8,6 +8,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.jujuberouter.duty.DutySettings;
+import org.jujuberouter.gateway.DutyOptions;
 import org.jujuberouter.gateway.GatewayOptions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -45,6 +47,19 @@
         assertTrue(read(GOOD.replace("\"Zone\"", "\"Bootstrap\":true,\"Zone\"")).firstStart());
     }
 
+    @Test
+    void readsTheDutiesAndTheirBoundsIfThePlatformHasAny() throws Exception {
+        String cloud = """
+                ,"Cloud":{"Address":"10.200.1.9:8300","Duties":["usage_report"],"DutyPerS":4}}""";
+        String file = GOOD.substring(0, GOOD.length() - 1).replace("\"GraceS\"", "\"LeaseMs\":2500,\"GraceS\"") + cloud;
+        DutyOptions duties = read(file).duties().orElseThrow();
+        assertEquals(8300, duties.address().getPort());
+        assertEquals(new DutySettings(true, false, 4, 2_500, 300, 5_000), duties.settings());
+        assertTrue(read(GOOD).duties().isEmpty());
+        assertTrue(read(file.replace("usage_report", "another")).duties().isEmpty());
+        assertRejected(file.replace("\"DutyPerS\":4", "\"DutyPerS\":0"), "rate limit");
+    }
+
     @Test
     void namesTheMissingOrInvalidField() {
         assertRejected(GOOD.replace("\"Zone\":\"north\",", ""), "Zone");
