--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -110,6 +110,11 @@
         }
     }
 
+    /** Runs an action on the duties, on the event loop; does nothing if the platform has none. */
+    void withDuties(Consumer<DutySync> action) {
+        loop.execute(() -> gateway.duties().ifPresent(action));
+    }
+
     /** Listens for readiness or metrics requests, which the handler receives fully aggregated. */
     private void listenForStatus(InetSocketAddress address, Supplier<ChannelHandler> handler) throws IOException {
         listen(
--- a/src/test/java/org/jujuberouter/gateway/DutySyncTest.java
+++ b/src/test/java/org/jujuberouter/gateway/DutySyncTest.java
@@ -9,8 +9,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Stream;
+import org.jujuberouter.duty.DutyResult;
+import org.jujuberouter.duty.DutyTerm;
+import org.jujuberouter.duty.ServiceDemand;
+import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.platform.standin.CloudStandin;
 import org.jujuberouter.platform.standin.CloudStandin.Call;
 import org.jujuberouter.platform.standin.StandinSite;
@@ -57,7 +65,7 @@
     }
 
     private Stream<Call> accepted() {
-        return cloud.calls().stream().filter(c -> c.status() == 200);
+        return cloud.calls().stream().filter(c -> c.status() == 200 && c.path().equals("/usage"));
     }
 
     private Map<Long, JsonNode> windows() {
@@ -159,6 +167,37 @@
         second.daemon().close();
     }
 
+    /** Guards against orders of instances that do not lead, and against demand that does not reach the leader. */
+    @Test
+    void givesTheDemandOfAllInstancesToTheTasksOfTheLeaderAndSendsItsOrders() throws Exception {
+        List<InstanceFixture.Instance> instances = List.of(start("first"), start("second"));
+        Set<String> sources = ConcurrentHashMap.newKeySet();
+        List<DutyResult> results = new CopyOnWriteArrayList<>();
+        ServiceName service = ServiceName.of("assistant");
+        FailureDomain north = FailureDomain.of("north");
+        for (InstanceFixture.Instance instance : instances) {
+            instance.daemon().withDuties(d -> {
+                d.setDemand(() -> List.of(new ServiceDemand(service, north, 5, 7, 1, 2)));
+                d.orderEngines(new DutyTerm(1), service, north, 9, results::add);
+                d.addTask((term, listed, demands) -> {
+                    demands.stream()
+                            .filter(r -> listed == 2 && !r.demand().isEmpty() && r.ageMs() < 2_000)
+                            .forEach(r -> sources.add(r.source().instance().value()));
+                    d.orderEngines(term, service, north, 3, results::add);
+                });
+            });
+        }
+        InstanceFixture.await(() -> sources.size() == 2 && results.contains(DutyResult.ACCEPTED));
+        List<Call> orders =
+                cloud.calls().stream().filter(c -> c.path().equals("/scale")).toList();
+        assertEquals(
+                "{\"Service\":\"assistant\",\"Zone\":\"north\",\"DesiredCount\":3}",
+                orders.getFirst().body().toString());
+        assertEquals(1, orders.stream().map(Call::holder).distinct().count());
+        assertEquals(List.of(DutyResult.NOT_SENT, DutyResult.NOT_SENT), results.subList(0, 2));
+        instances.forEach(i -> i.daemon().close());
+    }
+
     @Test
     void writesNothingAndCallsNobodyWithoutTheEntryInTheSettings() throws Exception {
         try (StandinSite plain = StandinSite.start(1, 1, 20);
