--- a/src/main/java/org/jujuberouter/duty/HolderElection.java
+++ b/src/main/java/org/jujuberouter/duty/HolderElection.java
@@ -109,8 +109,11 @@
         if (quiet && !hasPassed(quietSince, quietNanos) || attempted && !isAttemptDue()) {
             return false;
         }
+        // From the later of the two times on: after a start of all, the quiet time of all ends at about the same
+        // moment.
+        long allowedSince = quiet && quietSince + quietNanos - freeSince > 0 ? quietSince + quietNanos : freeSince;
         int rank = RendezvousHash.rank(RANKING_KEY, listed).indexOf(self);
-        return hasPassed(freeSince, TimeUnit.MILLISECONDS.toNanos(rank * RANK_DELAY_MS));
+        return hasPassed(allowedSince, TimeUnit.MILLISECONDS.toNanos(rank * RANK_DELAY_MS));
     }
 
     private boolean isAttemptDue() {
--- a/src/test/java/org/jujuberouter/duty/DutyControlTest.java
+++ b/src/test/java/org/jujuberouter/duty/DutyControlTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.LongStream;
 import org.jujuberouter.id.CustomerId;
 import org.jujuberouter.id.Incarnation;
 import org.jujuberouter.id.InstanceId;
@@ -97,6 +98,29 @@
         assertEquals(new DutyTerm(TOKEN), control.term().orElseThrow());
     }
 
+    /** All instances of a site that start together must not try in the same moment when they may. */
+    @Test
+    void oneInstanceOfManyTriesFirstWhenTheTimeWithoutAttemptsEnds() {
+        List<InstanceId> instances = LongStream.range(0, 20)
+                .mapToObj(i -> InstanceId.of("edge-" + i))
+                .toList();
+        List<InstanceId> tried = new ArrayList<>();
+        List<HolderElection> elections = instances.stream()
+                .map(i -> HolderElection.of(ticker, i, 3_000, false))
+                .toList();
+        elections.forEach(HolderElection::viewKnown);
+        for (long ms = 0; ms < 3_550; ms += 50) {
+            for (int i = 0; i < instances.size(); i++) {
+                if (elections.get(i).shouldAttempt(instances)) {
+                    elections.get(i).attemptSent();
+                    tried.add(instances.get(i));
+                }
+            }
+            assertEquals(ms < 3_500 ? 0 : 1, tried.size(), "after " + ms + " ms");
+            advance(50);
+        }
+    }
+
     @Test
     void neverSendsAgainAfterItsTokenWasRefused() {
         lead();
