--- a/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
+++ b/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
@@ -155,7 +155,8 @@
     /** Guards against wire names of the users' platform outside the package that adapts to it. */
     @Test
     void onlyThePlatformAdapterContainsWireNamesOfTheUsersPlatform() throws IOException {
-        List<String> wireNames = List.of("X-Jujuberouter-", "kv-txn", "kv-watch", "op/config", "servers/", "PortRange");
+        List<String> wireNames =
+                List.of("X-Jujuberouter-", "kv-txn", "kv-watch", "op/config", "servers/", "PortRange", "duties/");
         try (Stream<Path> files = Files.walk(SOURCES)) {
             List<Path> offenders = files.filter(f -> f.toString().endsWith(".java"))
                     .filter(f -> !f.startsWith(SOURCES.resolve("platform")))
--- a/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
+++ b/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
@@ -9,12 +9,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicReference;
 import org.jujuberouter.catalog.ApiKeys;
 import org.jujuberouter.catalog.Catalog;
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.catalog.RetryPolicy;
 import org.jujuberouter.control.ControlEntry;
+import org.jujuberouter.id.CustomerId;
+import org.jujuberouter.id.InstanceId;
 import org.junit.jupiter.api.Test;
 
 /** Guards against misread values of the store and against invalid values written by other programs. */
@@ -189,4 +192,19 @@
         assertInstanceOf(ControlEntry.Unreadable.class, decode("op/config", "\"text\""));
         assertInstanceOf(ControlEntry.Unreadable.class, decode("op/config", ""));
     }
+
+    /** The token of a leader is the revision at which its key was created. */
+    @Test
+    void decodesTheHolderOfTheDutiesWithItsRevisionAndTheCountsOfAWindow() {
+        String holder = Base64.getEncoder().encodeToString("edge-1".getBytes(StandardCharsets.UTF_8));
+        assertEquals(
+                new ControlEntry.DutyHolder(InstanceId.of("edge-1"), 812),
+                KvValueCodec.decode("duties/holder", 812, holder));
+        Map<CustomerId, Long> counts = Map.of(CustomerId.of("hule930"), 412L, CustomerId.of("fida11"), 0L);
+        assertEquals(
+                new ControlEntry.UsageWindow(353_445_120, counts),
+                decode("duties/usage/353445120", KvValueCodec.counts(counts).toString()));
+        assertInstanceOf(ControlEntry.Unreadable.class, decode("duties/usage/x", "{}"));
+        assertInstanceOf(ControlEntry.Unreadable.class, decode("duties/usage/1", "{\"hule930\":\"many\"}"));
+    }
 }
