--- a/src/main/java/org/jujuberouter/control/ControlStore.java
+++ b/src/main/java/org/jujuberouter/control/ControlStore.java
@@ -29,8 +29,8 @@
             long leaseMs,
             Consumer<String> listener);
 
-    /** Renews the lease of the registration; the listener receives false if this instance must register again. */
-    void renew(Consumer<Boolean> listener);
+    /** Renews the lease of the registration. */
+    void renew(Consumer<LeaseReply> listener);
 
     /**
      * Writes a quarantine that expires by itself, unless there is one; the listener receives null or the reason for a
@@ -42,6 +42,11 @@
     void writeCrash(
             EndpointId endpoint, InstanceId reporter, List<List<RequestTrait>> suspects, Consumer<String> listener);
 
+    /** Returns the access to the keys of the duties; their holder is registered under the same lease. */
+    default DutyStore duties() {
+        throw new UnsupportedOperationException("this store has no duties");
+    }
+
     /** Ends the lease of the registration. */
     void deregister(Runnable done);
 }
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -80,6 +80,7 @@
     private final CallQueue<Exchange> waitQueue = CallQueue.sharedBy(shares, ticker);
     private PeerLoadSync peerLoad;
     private CrashQuarantine crashes;
+    private Optional<DutySync> duties = Optional.empty();
     private Optional<Catalog> catalog = Optional.empty();
     private long previousIdleTimeoutMs;
     private int memoryReleases;
@@ -387,6 +388,16 @@
         crashes = quarantine;
     }
 
+    /** Sets the duties; not a constructor argument, since they refer to this object. */
+    void setDuties(DutySync sync) {
+        duties = Optional.of(sync);
+    }
+
+    /** Returns the duties; empty if the platform has none. */
+    Optional<DutySync> duties() {
+        return duties;
+    }
+
     CrashQuarantine crashes() {
         return crashes;
     }
@@ -478,6 +489,8 @@
             case ControlEntry.Peer p -> peerLoad.peerListed(p);
             case ControlEntry.Quarantine c -> crashes.onStored(c.trait());
             case ControlEntry.EndpointCrash c -> crashes.onStoredCrash(c.endpoint(), c.suspects());
+            case ControlEntry.DutyHolder h -> duties.ifPresent(d -> d.onWritten(h));
+            case ControlEntry.UsageWindow w -> duties.ifPresent(d -> d.onWritten(w));
             case ControlEntry.Unreadable u ->
                 log.stateChanged("unreadable entry", Map.entry("key", key), Map.entry("reason", u.reason()));
         }
@@ -520,6 +533,8 @@
                     crashes.onRemoved(c.trait());
                 }
             }
+            case ControlEntry.DutyHolder h -> duties.ifPresent(d -> d.onRemoved(h));
+            case ControlEntry.UsageWindow w -> duties.ifPresent(d -> d.onRemoved(w));
             case ControlEntry.Configuration _ ->
                 log.stateChanged("configuration deleted from the store; the last version stays in force");
             case ControlEntry.Unreadable _ -> log.stateChanged("unreadable entry removed", Map.entry("key", key));
--- a/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
@@ -19,6 +19,7 @@
  * @param firstStart whether the whole system starts for the first time, so that no instance has run before
  * @param domainMode how placement takes failure domains into account
  * @param bounds limits set for the deployment
+ * @param duties calls that only one instance at a time may make; empty if there are none
  */
 public record GatewayOptions(
         InstanceId instance,
@@ -30,21 +31,8 @@
         Optional<InetSocketAddress> metrics,
         boolean firstStart,
         DomainMode domainMode,
-        ServingBounds bounds) {
-    /** Creates options of an instance that decides by itself which calls leave its failure domain. */
-    public GatewayOptions(
-            InstanceId instance,
-            FailureDomain domain,
-            InetSocketAddress callers,
-            InetSocketAddress readiness,
-            InetSocketAddress peers,
-            InetSocketAddress store,
-            Optional<InetSocketAddress> metrics,
-            boolean firstStart,
-            ServingBounds bounds) {
-        this(instance, domain, callers, readiness, peers, store, metrics, firstStart, DomainMode.AUTO, bounds);
-    }
-
+        ServingBounds bounds,
+        Optional<DutyOptions> duties) {
     /** Returns a copy of these options that serves metrics at the given port of the callers' address. */
     public GatewayOptions withMetricsPort(int port) {
         InetSocketAddress address = new InetSocketAddress(callers.getAddress(), port);
@@ -58,12 +46,13 @@
                 Optional.of(address),
                 firstStart,
                 domainMode,
-                bounds);
+                bounds,
+                duties);
     }
 
     /** Returns a copy of these options with the given mode of placement across domains. */
     public GatewayOptions withDomainMode(DomainMode mode) {
         return new GatewayOptions(
-                instance, domain, callers, readiness, peers, store, metrics, firstStart, mode, bounds);
+                instance, domain, callers, readiness, peers, store, metrics, firstStart, mode, bounds, duties);
     }
 }
--- a/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
+++ b/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
@@ -9,6 +9,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -62,7 +64,7 @@
     private final StoreProof proof;
     private final EventLoop loop;
     private final Ticker ticker;
-    private final InstanceId self;
+    private final Incarnation self;
     private final Map<RequestId, PlacedWork> ownWork = new HashMap<>();
     private final Map<RequestId, PlacedWork> peerWork = new LinkedHashMap<>();
     private final Map<InstanceId, InetSocketAddress> addresses = new HashMap<>();
@@ -73,28 +75,30 @@
     private List<InstanceId> proving;
     private int proofQueries;
     private boolean regroupScheduled;
+    private Set<InstanceId> listed;
+    private Optional<InstanceId> leader = Optional.empty();
     private PeerNetwork network;
 
     private record PlacedWork(InstanceId instance, long expiresAt, List<Allocation> allocations, WorkClaim claim) {}
 
-    private PeerLoadSync(Gateway gateway, StoreWatcher watcher, EventLoop loop, Ticker ticker, InstanceId self) {
+    private PeerLoadSync(Gateway gateway, StoreWatcher watcher, EventLoop loop, Ticker ticker, Incarnation self) {
         this.gateway = gateway;
         this.watcher = watcher;
         this.proof = gateway.storeProof(watcher);
         this.loop = loop;
         this.ticker = ticker;
         this.self = self;
-        this.proving = List.of(self);
+        this.proving = List.of(self.instance());
     }
 
     /** Starts listening for peers. */
     static PeerLoadSync start(
             Gateway gateway, StoreWatcher watcher, EventLoop loop, Ticker ticker, GatewayOptions options)
             throws IOException {
-        PeerLoadSync sync = new PeerLoadSync(gateway, watcher, loop, ticker, options.instance());
-        sync.domains.put(options.instance(), options.domain());
         // The start time suffices as a number that increases with each start: no decision depends on it.
         Incarnation incarnation = Incarnation.of(options.instance(), System.currentTimeMillis());
+        PeerLoadSync sync = new PeerLoadSync(gateway, watcher, loop, ticker, incarnation);
+        sync.domains.put(options.instance(), options.domain());
         sync.network = PeerNetwork.startOn(loop, incarnation, options.domain(), options.peers(), ticker, sync);
         loop.scheduleAtFixedRate(sync::sweepWork, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(
@@ -105,7 +109,7 @@
     /** Records the address and the domain of an instance that the store lists. */
     void peerListed(ControlEntry.Peer peer) {
         connectedUnlisted.remove(peer.instance());
-        if (!peer.instance().equals(self)) {
+        if (!peer.instance().equals(self.instance())) {
             addresses.put(peer.instance(), peer.address());
             peer.domain().ifPresentOrElse(d -> domains.put(peer.instance(), d), () -> domains.remove(peer.instance()));
             membersChanged();
@@ -134,6 +138,7 @@
     }
 
     private void membersChanged() {
+        listed = null;
         gateway.setInstanceCount(addresses.size() + 1);
         if (!regroupScheduled) {
             regroupScheduled = true;
@@ -145,16 +150,16 @@
     private void regroup() {
         regroupScheduled = false;
         Set<InstanceId> all = new HashSet<>(addresses.keySet());
-        all.add(self);
+        all.add(self.instance());
         int groups = InstanceGroups.groupCount(all.size());
         // Instances of builds that register no domain compute groups without domains, and all must compute the same.
         boolean byDomain = domains.size() == all.size();
         Map<InstanceId, Integer> assigned = byDomain
                 ? InstanceGroups.assignByDomain(INSTANCE_GROUPS, domains, groups)
                 : InstanceGroups.assign(INSTANCE_GROUPS, all, groups);
-        int ownGroup = assigned.get(self);
+        int ownGroup = assigned.get(self.instance());
         Set<InstanceId> newMembers = new HashSet<>(all);
-        newMembers.removeIf(i -> i.equals(self) || assigned.get(i) != ownGroup);
+        newMembers.removeIf(i -> i.equals(self.instance()) || assigned.get(i) != ownGroup);
         if (groups != groupCount) {
             groupCount = groups;
             gateway.log()
@@ -170,14 +175,51 @@
                 removeWorkOf(former);
             }
         }
+        Set<InstanceId> formerMembers = members;
         members = newMembers;
         selectProving();
         gateway.registry().setGroup(ownGroup, groups, byDomain);
-        // Only one side of each pair connects, which halves the number of connections.
-        network.connectTo(members.stream()
-                .filter(i -> i.compareTo(self) > 0)
-                .map(addresses::get)
-                .toList());
+        if (gateway.duties().isPresent()) {
+            // An instance that connected to report to the leader, or as the leader, was not sent the work.
+            members.stream()
+                    .filter(i -> !formerMembers.contains(i) && network.isConnected(i))
+                    .forEach(this::sendOwnWork);
+        }
+        connect();
+    }
+
+    /** Connects to the members of the group and to the leader; only one side of each pair of members connects. */
+    private void connect() {
+        Stream<InstanceId> wanted = Stream.concat(
+                members.stream().filter(i -> i.compareTo(self.instance()) > 0),
+                leader.stream().filter(i -> !members.contains(i)));
+        network.connectTo(
+                wanted.map(addresses::get).filter(Objects::nonNull).distinct().toList());
+    }
+
+    /** Sets the instance that receives the reports of this one. */
+    void setLeader(Optional<InstanceId> instance) {
+        if (!leader.equals(instance)) {
+            leader = instance;
+            connect();
+        }
+    }
+
+    /** Returns the instances that the store lists or that are connected, including this one. */
+    Set<InstanceId> listed() {
+        if (listed == null) {
+            listed = new HashSet<>(addresses.keySet());
+            listed.add(self.instance());
+        }
+        return listed;
+    }
+
+    boolean isConnected(InstanceId instance) {
+        return network.isConnected(instance);
+    }
+
+    Incarnation self() {
+        return self;
     }
 
     int groupCount() {
@@ -189,7 +231,7 @@
     }
 
     void workStarted(List<Allocation> allocations, long remainingMs, WorkClaim claim, long waitedMs) {
-        PlacedWork work = new PlacedWork(self, expiresAt(remainingMs), allocations, claim);
+        PlacedWork work = new PlacedWork(self.instance(), expiresAt(remainingMs), allocations, claim);
         ownWork.put(allocations.getFirst().id(), work);
         network.broadcast(workStartedMessage(work, remainingMs, waitedMs), members);
     }
@@ -218,6 +260,7 @@
         InstanceId sender = from.peer().instance();
         switch (message) {
             case PeerMessage.ContactQuery query -> answer(from, query);
+            case PeerMessage.DutyMessage m -> gateway.duties().ifPresent(d -> d.onMessage(from, m));
             case PeerMessage.GatewayMessage gatewayMessage -> apply(sender, gatewayMessage);
             default -> LOG.log(System.Logger.Level.DEBUG, "[peer] ignored unexpected message {0}", message.getClass());
         }
@@ -227,9 +270,15 @@
     public void onConnected(Incarnation peer, FailureDomain domain) {
         gateway.log().stateChanged("peer connected", Map.entry("peer", peer));
         selectProving();
+        if (gateway.duties().isEmpty() || members.contains(peer.instance())) {
+            sendOwnWork(peer.instance());
+        }
+    }
+
+    private void sendOwnWork(InstanceId peer) {
         for (PlacedWork work : ownWork.values()) {
             long remainingMs = TimeUnit.NANOSECONDS.toMillis(work.expiresAt - ticker.nanos());
-            send(peer.instance(), workStartedMessage(work, Math.max(0, remainingMs), 0));
+            send(peer, workStartedMessage(work, Math.max(0, remainingMs), 0));
         }
     }
 
@@ -237,6 +286,9 @@
     public void onDisconnected(Incarnation peer) {
         gateway.log().stateChanged("peer disconnected", Map.entry("peer", peer));
         selectProving();
+        if (!network.isConnected(peer.instance())) {
+            gateway.duties().ifPresent(d -> d.onDisconnected(peer));
+        }
         if (connectedUnlisted.remove(peer.instance())) {
             peerUnlisted(peer.instance(), true);
         }
@@ -262,8 +314,8 @@
             case PeerMessage.EndpointFailed m ->
                 gateway.registry().find(m.endpoint()).ifPresent(e -> e.recordPeerFailure(ticker.nanos()));
             case PeerMessage.CrashMessage m -> gateway.crashes().onPeerMessage(m);
-            case PeerMessage.ContactQuery _ -> {
-                // Handled in onMessage, since the report is sent on the same connection.
+            case PeerMessage.ContactQuery _, PeerMessage.DutyMessage _ -> {
+                // Handled in onMessage, since the reply is sent on the same connection.
             }
         }
     }
@@ -290,16 +342,16 @@
      * different ones, the store is asked more often than needed.
      */
     private void selectProving() {
-        proving = Stream.concat(Stream.of(self), members.stream().filter(network::isConnected))
+        proving = Stream.concat(Stream.of(self.instance()), members.stream().filter(network::isConnected))
                 .sorted()
                 .limit(PROVING_INSTANCES)
                 .toList();
-        watcher.setProvesForOthers(proving.contains(self) && !members.isEmpty());
+        watcher.setProvesForOthers(proving.contains(self.instance()) && !members.isEmpty());
     }
 
     /** Asks one of the instances that prove the view of the store, unless this instance is one of them. */
     private void queryProof() {
-        if (!proving.contains(self)) {
+        if (!proving.contains(self.instance())) {
             send(proving.get(proofQueries++ % proving.size()), new PeerMessage.ContactQuery(ticker.nanos()));
         }
         watcher.checkProof();
@@ -349,7 +401,8 @@
         found.forEach(this::removeWork);
     }
 
-    private void send(InstanceId to, PeerMessage message) {
+    /** Sends a message to a peer that is connected. */
+    void send(InstanceId to, PeerMessage message) {
         try {
             network.send(to, message);
         } catch (PeerException e) {
--- a/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
+++ b/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
@@ -45,6 +45,7 @@
             Map.entry("routing", Set.of()),
             Map.entry("limits", Set.of()),
             Map.entry("dispatch", Set.of("catalog")),
+            Map.entry("duty", Set.of()),
             Map.entry("memory", Set.of()),
             Map.entry("outcome", Set.of("error", "store")),
             Map.entry("orders", Set.of("store", "settings")),
@@ -154,7 +155,8 @@
     /** Guards against wire names of the users' platform outside the package that adapts to it. */
     @Test
     void onlyThePlatformAdapterContainsWireNamesOfTheUsersPlatform() throws IOException {
-        List<String> wireNames = List.of("X-Jujuberouter-", "kv-txn", "kv-watch", "op/config", "servers/", "PortRange");
+        List<String> wireNames =
+                List.of("X-Jujuberouter-", "kv-txn", "kv-watch", "op/config", "servers/", "PortRange", "duties/");
         try (Stream<Path> files = Files.walk(SOURCES)) {
             List<Path> offenders = files.filter(f -> f.toString().endsWith(".java"))
                     .filter(f -> !f.startsWith(SOURCES.resolve("platform")))
--- a/src/test/java/org/jujuberouter/control/StoreWatcherTest.java
+++ b/src/test/java/org/jujuberouter/control/StoreWatcherTest.java
@@ -108,7 +108,7 @@
                 Consumer<String> answer) {}
 
         @Override
-        public void renew(Consumer<Boolean> answer) {}
+        public void renew(Consumer<LeaseReply> answer) {}
 
         @Override
         public void writeCrash(
--- a/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
+++ b/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import org.jujuberouter.catalog.ApiKeys;
@@ -17,7 +18,9 @@
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.catalog.RetryPolicy;
 import org.jujuberouter.control.ControlEntry;
+import org.jujuberouter.id.CustomerId;
 import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.InstanceId;
 import org.junit.jupiter.api.Test;
 
 /** Guards against misread values of the store and against invalid values written by other programs. */
@@ -27,7 +30,7 @@
              "ColdRemainingMs":700,"Sequence":4,"born":1700000000000}""";
 
     private static ControlEntry decode(String key, String value) {
-        return KvValueCodec.decode(key, Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)));
+        return KvValueCodec.decode(key, 1, Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)));
     }
 
     private static void assertUnreadable(String value) {
@@ -67,7 +70,7 @@
         assertUnreadable(ENTRY.replace("700", "\"soon\""));
         assertUnreadable(ENTRY.replace("10.128.0.9:8080", "engine.example:80"));
         assertUnreadable(ENTRY.replace("10.128.0.9:8080", "10.128.0.9:port"));
-        assertInstanceOf(ControlEntry.Unreadable.class, KvValueCodec.decode("servers/i-1", "%%%"));
+        assertInstanceOf(ControlEntry.Unreadable.class, KvValueCodec.decode("servers/i-1", 1, "%%%"));
     }
 
     /** Another writer may leave any value among the registrations; it must not end the process that reads it. */
@@ -204,4 +207,19 @@
         assertInstanceOf(ControlEntry.Unreadable.class, decode("op/config", "\"text\""));
         assertInstanceOf(ControlEntry.Unreadable.class, decode("op/config", ""));
     }
+
+    /** The token of a leader is the revision at which its key was created. */
+    @Test
+    void decodesTheHolderOfTheDutiesWithItsRevisionAndTheCountsOfAWindow() {
+        String holder = Base64.getEncoder().encodeToString("edge-1".getBytes(StandardCharsets.UTF_8));
+        assertEquals(
+                new ControlEntry.DutyHolder(InstanceId.of("edge-1"), 812),
+                KvValueCodec.decode("duties/holder", 812, holder));
+        Map<CustomerId, Long> counts = Map.of(CustomerId.of("hule930"), 412L, CustomerId.of("fida11"), 0L);
+        assertEquals(
+                new ControlEntry.UsageWindow(353_445_120, counts),
+                decode("duties/usage/353445120", KvValueCodec.counts(counts).toString()));
+        assertInstanceOf(ControlEntry.Unreadable.class, decode("duties/usage/x", "{}"));
+        assertInstanceOf(ControlEntry.Unreadable.class, decode("duties/usage/1", "{\"hule930\":\"many\"}"));
+    }
 }
