--- a/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
+++ b/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
@@ -14,10 +14,12 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.jujuberouter.catalog.ApiKeys;
 import org.jujuberouter.catalog.Catalog;
+import org.jujuberouter.catalog.DomainNetwork;
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.catalog.RetryPolicy;
 import org.jujuberouter.control.ControlEntry;
 import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.ServiceName;
 import org.junit.jupiter.api.Test;
 
 /** Guards against misread values of the store and against invalid values written by other programs. */
@@ -56,6 +58,27 @@
         assertEquals(new ControlEntry.Peer(peer.instance(), peer.address(), Optional.empty()), older);
     }
 
+    /** A delay that counts in one direction only would make placement differ between the two domains. */
+    @Test
+    void decodesDelaysBetweenDomainsInBothDirections() {
+        String config = """
+                {"Version":1,"Services":[{"Name":"s","Engine":{"Slots":11,"delays":[
+                 {"Source":"north","TargetVersion":"south","delay_ms":1.4}],"transfer_cost_per_mb":2}}]}""";
+        DomainNetwork network = assertInstanceOf(ControlEntry.Configuration.class, decode("op/config", config))
+                .catalog()
+                .service(ServiceName.of("s"))
+                .orElseThrow()
+                .engine()
+                .orElseThrow()
+                .network();
+        FailureDomain north = FailureDomain.of("north");
+        FailureDomain south = FailureDomain.of("south");
+        assertEquals(2.8, network.roundTripMs(north, south));
+        assertEquals(2.8, network.roundTripMs(south, north));
+        assertEquals(0, network.roundTripMs(north, FailureDomain.of("east")));
+        assertEquals(2e-6, network.costPerByte());
+    }
+
     @Test
     void reportsInvalidRegistrationsAsUnreadable() {
         assertUnreadable("");
