--- a/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
@@ -140,6 +140,7 @@
         }
         if (decision instanceof PlacementDecision.Send send) {
             send.endpoint().domain().recordPlaced(now);
+            send.helpers().forEach(h -> h.domain().recordPlaced(now));
         }
         return decision;
     }
--- a/src/main/java/org/jujuberouter/dispatch/EndpointRegistry.java
+++ b/src/main/java/org/jujuberouter/dispatch/EndpointRegistry.java
@@ -172,6 +172,16 @@
         }
     }
 
+    /** Records that a call of this instance is being answered, which proves that all endpoints that work on it are reached. */
+    public void recordReached(RequestId id) {
+        for (EndpointId endpointId : endpointsByRequest.getOrDefault(id, List.of())) {
+            TrackedEndpoint endpoint = endpoints.get(endpointId);
+            if (endpoint != null) {
+                endpoint.domain().recordReached();
+            }
+        }
+    }
+
     /** Removes the allocations of a call. */
     public void release(RequestId id) {
         List<EndpointId> allocated = endpointsByRequest.remove(id);
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -263,6 +263,7 @@
         long now = ticker.nanos();
         long lateMs = Math.max(0, delayMs);
         registry.prefillDone(id);
+        registry.recordReached(id);
         if (endpoint.needsReport(delayMs, now)) {
             peerLoad.workRead(id, endpoint.registration().id(), lateMs);
         }
--- a/src/test/java/org/jujuberouter/dispatch/DomainSimulation.java
+++ b/src/test/java/org/jujuberouter/dispatch/DomainSimulation.java
@@ -339,7 +339,7 @@
         at(receivedMs, () -> {
             call.late = receivedMs - call.arrivedMs > call.requirements.objectiveMs();
             TrackedEndpoint endpoint = send.endpoint();
-            endpoint.domain().recordReached();
+            instance.registry.recordReached(call.requirements.id());
             endpoint.recordSuccess();
             instance.registry.prefillDone(call.requirements.id());
             double delayMs = receivedMs - sentMs - predictedMs;
