--- a/src/test/java/org/jujuberouter/dispatch/DomainPlacementTest.java
+++ b/src/test/java/org/jujuberouter/dispatch/DomainPlacementTest.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import org.jujuberouter.catalog.DomainNetwork;
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.catalog.ServiceSpec;
 import org.jujuberouter.dispatch.DomainSimulation.Call;
@@ -203,6 +204,34 @@
         assertThrows(IllegalArgumentException.class, () -> DomainMode.of("far"));
     }
 
+    private void occupy(String endpoint, int slots) {
+        for (int i = 0; i < slots; i++) {
+            registry.allocate(List.of(new Allocation(
+                    RequestId.of(endpoint + "/" + i), EndpointId.of(endpoint), true, 0, 5_000, 300, 250, 1)));
+        }
+    }
+
+    /** A busy domain must not take the engines that another one is about to need while a third one has enough. */
+    @Test
+    void leavesTheLastFreeEngineOfADomainToItsOwnCalls() {
+        register(0, 1, 11);
+        register(1, 2, 11);
+        register(2, 2, 11);
+        occupy("z0-0", 11);
+        occupy("z1-0", 8);
+        CallScheduler scheduler =
+                CallScheduler.on(registry, ticker, DomainPolicy.of(DomainSimulation.domainId(0), DomainMode.AUTO));
+        for (int i = 0; i < 20; i++) {
+            CallRequirements call =
+                    new CallRequirements(RequestId.of("c" + i), DomainSimulation.SERVICE, 5_000, 900, 300, 250, 2_000);
+            PlacementDecision.Send send = assertInstanceOf(
+                    PlacementDecision.Send.class,
+                    scheduler.place(call, DomainSimulation.service(DomainNetwork.unknown()), Set.of(), 0));
+            assertEquals(DomainSimulation.domainId(2), send.endpoint().domain().id());
+            assertEquals(AwayReason.HOME_FULL, send.away());
+        }
+    }
+
     private void unreachable(int domain, int endpoint) {
         registry.find(EndpointId.of("z" + domain + "-" + endpoint))
                 .orElseThrow()
--- a/src/test/java/org/jujuberouter/dispatch/DomainSimulation.java
+++ b/src/test/java/org/jujuberouter/dispatch/DomainSimulation.java
@@ -120,22 +120,7 @@
                 }
             }
         }
-        this.spec = new ServiceSpec(
-                SERVICE,
-                "/health",
-                304,
-                4,
-                Optional.of(new EngineCostModel(
-                        11,
-                        232_000,
-                        43,
-                        1.02,
-                        0.0033,
-                        0.0043,
-                        206,
-                        0.138,
-                        2_048,
-                        new DomainNetwork(delays, DomainNetwork.DEFAULT_COST_PER_MB / 1e6))));
+        this.spec = service(new DomainNetwork(delays, DomainNetwork.DEFAULT_COST_PER_MB / 1e6));
         for (int i = 0; i < instancesPerDomain * rates.length; i++) {
             instances.add(new Instance(i % rates.length));
         }
@@ -146,6 +131,11 @@
         }
     }
 
+    static ServiceSpec service(DomainNetwork network) {
+        EngineCostModel engine = new EngineCostModel(11, 232_000, 43, 1.02, 0.0033, 0.0043, 206, 0.138, 2_048, network);
+        return new ServiceSpec(SERVICE, "/health", 304, 4, Optional.of(engine));
+    }
+
     static FailureDomain domainId(int domain) {
         return FailureDomain.of("z" + domain);
     }
