Make fewer calls to the store in large fleets

One instance of a group proves the view instead of two, changes gather for 1.2 s while peers report their revision, a lost answer to a watch is noticed within 0.4 s, and instances wait for their peers to report the return of the store instead of retrying.

--- a/src/main/java/org/jujuberouter/control/StoreWatcher.java
+++ b/src/main/java/org/jujuberouter/control/StoreWatcher.java
@@ -1,6 +1,7 @@
 package org.jujuberouter.control;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -39,7 +40,7 @@
     private static final long RECONNECT_WATCH_TIMEOUT_MS = 1;
 
     /** Timeout of a watch while peers prove the view; the store allows 30 s. */
-    private static final long PROVED_WATCH_TIMEOUT_MS = 10_000;
+    private static final long PROVED_WATCH_TIMEOUT_MS = 25_000;
 
     /** Age of the last proof by a peer from which on this instance proves its view by its own watches. */
     private static final long MAX_PROOF_AGE_MS = 2_500;
@@ -60,9 +61,44 @@
     /** Maximum batching delay; changes must take effect within bounds of 2 s or more. */
     private static final long MAX_BATCHING_MS = 600;
 
+    /**
+     * Batching delay in a large fleet while peers report their revision. A change takes effect within 1.7 s with two
+     * answers of a slow store, 0.24 s each, and within 1.7 s if an answer is lost.
+     */
+    private static final long PROVED_BATCHING_MS = 1_200;
+
+    /** Largest fleet that batches as if no peer reported; it has one group, and its calls are few. */
+    private static final int MAX_SMALL_FLEET = 23;
+
+    /**
+     * Time after which a watch is replaced that should have been answered at once, as a peer has a later revision; a
+     * slow store answers within 0.24 s.
+     */
+    private static final long OVERDUE_MS = 400;
+
     private static final long INITIAL_RETRY_MS = 50;
     private static final long MAX_RETRY_MS = 400;
 
+    /** Maximum retry delay of the instance that proves the views of others; they wait for it to reach the store. */
+    private static final long PROVING_MAX_RETRY_MS = 300;
+
+    /**
+     * Maximum retry delay while the store turns away this instance but not its peers: a change reaches an instance
+     * within 2 s after the store serves it again.
+     */
+    private static final long TURNED_AWAY_MAX_RETRY_MS = 1_500;
+
+    /** Maximum retry delay while the peers do not reach the store either; they report its return. */
+    private static final long OUTAGE_MAX_RETRY_MS = 4_000;
+
+    private static final int RETRY_FACTOR = 2;
+
+    /** Factor while peers report whether they reach the store; then nothing is gained by trying often. */
+    private static final int REPORTED_RETRY_FACTOR = 4;
+
+    /** Age up to which the last report of the peers counts: three intervals of their queries. */
+    private static final long MAX_REPORT_AGE_MS = 1_500;
+
     /** Time within which live endpoints register again after an outage of the store, as specified by the platform. */
     private static final long RECONNECT_GRACE_MS = 1_900;
 
@@ -82,12 +118,19 @@
     private int laterRevisions;
     private long watchNumber;
     private long outstandingWatchMs;
+    private boolean peerIsAhead;
+    private final PeerReports peerReports;
+    private ScheduledFuture<?> retryTimer;
+    private Runnable retryCall;
+    private long triedAt;
+    private long lostAt;
 
     private StoreWatcher(ControlStore store, EventLoop loop, Ticker ticker, StoreListener listener) {
         this.store = store;
         this.loop = loop;
         this.ticker = ticker;
         this.listener = listener;
+        this.peerReports = PeerReports.none(ticker, MAX_REPORT_AGE_MS);
     }
 
     /** Returns a watcher that has not been started. */
@@ -105,6 +148,11 @@
         return revision;
     }
 
+    /** Returns whether the last call to the store succeeded. */
+    public boolean isConnected() {
+        return connected;
+    }
+
     private void readAll() {
         long sentAt = ticker.nanos();
         store.read(reply -> {
@@ -125,6 +173,7 @@
         long number = ++watchNumber;
         outstandingWatchMs = watchTimeoutMs();
         laterRevisions = 0;
+        checkOverdue();
         store.watch(revision, outstandingWatchMs, reply -> {
             if (number == watchNumber) {
                 outstandingWatchMs = 0;
@@ -139,6 +188,7 @@
                 confirm(sentAt);
                 changes.events().forEach(this::apply);
                 revision = Math.max(revision, changes.revision());
+                peerIsAhead = false;
                 if (changes.events().isEmpty()) {
                     watch();
                 } else {
@@ -167,6 +217,10 @@
     /** Sets whether this instance proves the views of others, which then wait for changes only. */
     public void setProvesForOthers(boolean proves) {
         provesForOthers = proves;
+        if (maxRetryMs() <= MAX_RETRY_MS) {
+            // The peers for which this instance waited do not report any more, or wait for this instance.
+            retrySooner(MAX_RETRY_MS);
+        }
     }
 
     /**
@@ -174,14 +228,24 @@
      * that proves the view of this instance for the same time.
      */
     public boolean onPeerReport(long peerRevision, long atNanos) {
+        if (peerReports.reachesStore(atNanos)) {
+            // The store has returned for a peer; a first failure says little of the next attempts.
+            retryMs = INITIAL_RETRY_MS;
+            retrySooner(INITIAL_RETRY_MS);
+        }
         if (peerRevision > revision) {
             laterRevisions++;
+            if (!peerIsAhead) {
+                peerIsAhead = true;
+                checkOverdue();
+            }
             if (laterRevisions >= MAX_LATER_REVISIONS && outstandingWatchMs > WATCH_TIMEOUT_MS) {
                 replaceWatch();
             }
             return false;
         }
         laterRevisions = 0;
+        peerIsAhead = false;
         if (!provedByPeer || atNanos > peerProofNanos) {
             peerProofNanos = atNanos;
         }
@@ -189,6 +253,41 @@
         return true;
     }
 
+    /** Handles the report of a peer that it does not reach the store. */
+    public void onPeerWithoutStore() {
+        peerReports.lacksStore();
+    }
+
+    /** Returns whether this instance learns of the return of the store from its peers. */
+    public boolean awaitsStoreOfPeers() {
+        return !connected && !provesForOthers && peerReports.areWithoutStore();
+    }
+
+    /**
+     * Replaces a watch whose answer seems lost, since the store answers at once if a peer has received more. A short
+     * watch counts as failed, so that an instance that is cut off from the store notices it.
+     */
+    private void checkOverdue() {
+        if (!peerIsAhead || outstandingWatchMs == 0 || provesForOthers) {
+            return;
+        }
+        long number = watchNumber;
+        loop.schedule(
+                () -> {
+                    if (number != watchNumber || !peerIsAhead || outstandingWatchMs == 0) {
+                        return;
+                    }
+                    if (outstandingWatchMs > WATCH_TIMEOUT_MS) {
+                        replaceWatch();
+                    } else if (connected) {
+                        endWatch();
+                        retry("no answer to a watch though a peer has a later revision", this::watch);
+                    }
+                },
+                OVERDUE_MS,
+                TimeUnit.MILLISECONDS);
+    }
+
     /** Replaces a long watch if the view is not proved by peers any more; called at short intervals. */
     public void checkProof() {
         if (outstandingWatchMs > watchTimeoutMs()) {
@@ -199,18 +298,26 @@
     private void replaceWatch() {
         if (outstandingWatchMs > 0) {
             provedByPeer = false;
-            outstandingWatchMs = 0;
-            watchNumber++;
-            store.cancelWatch();
+            endWatch();
             watch();
         }
     }
 
+    private void endWatch() {
+        outstandingWatchMs = 0;
+        watchNumber++;
+        store.cancelWatch();
+    }
+
     private long batchingMs() {
+        long instances = instanceCount();
+        if (!provesForOthers && instances > MAX_SMALL_FLEET && peerReports.reachStore()) {
+            return PROVED_BATCHING_MS;
+        }
         if (!provesForOthers && isProvedByPeer()) {
             return MAX_BATCHING_MS;
         }
-        return Math.min(MAX_BATCHING_MS, instanceCount() * BATCHING_MS_PER_INSTANCE);
+        return Math.min(MAX_BATCHING_MS, instances * BATCHING_MS_PER_INSTANCE);
     }
 
     private long instanceCount() {
@@ -221,7 +328,7 @@
 
     private void confirm(long sentAt) {
         if (!connected) {
-            reconnectedAt = ticker.nanos();
+            reconnectedAt = peerReports.reachedStoreSince(lostAt);
         }
         connected = true;
         retryMs = INITIAL_RETRY_MS;
@@ -231,11 +338,41 @@
     private void retry(String reason, Runnable next) {
         if (connected) {
             wasDisconnected = true;
+            lostAt = ticker.nanos();
         }
         connected = false;
         listener.onUnavailable(reason);
-        loop.schedule(next, retryMs, TimeUnit.MILLISECONDS);
-        retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
+        triedAt = ticker.nanos();
+        retryMs = Math.min(retryMs, maxRetryMs());
+        scheduleRetry(next, retryMs);
+        retryMs *= peerReports.reachStore() || awaitsStoreOfPeers() ? REPORTED_RETRY_FACTOR : RETRY_FACTOR;
+    }
+
+    private long maxRetryMs() {
+        if (peerReports.reachStore()) {
+            return TURNED_AWAY_MAX_RETRY_MS;
+        }
+        if (provesForOthers) {
+            return PROVING_MAX_RETRY_MS;
+        }
+        return peerReports.areWithoutStore() ? OUTAGE_MAX_RETRY_MS : MAX_RETRY_MS;
+    }
+
+    /** Brings the scheduled retry forward to the given time after the last attempt. */
+    private void retrySooner(long delayMs) {
+        if (connected || retryTimer == null) {
+            return;
+        }
+        long waitedMs = TimeUnit.NANOSECONDS.toMillis(ticker.nanos() - triedAt);
+        long remainingMs = Math.max(0, delayMs - waitedMs);
+        if (remainingMs < retryTimer.getDelay(TimeUnit.MILLISECONDS) && retryTimer.cancel(false)) {
+            scheduleRetry(retryCall, remainingMs);
+        }
+    }
+
+    private void scheduleRetry(Runnable next, long delayMs) {
+        retryCall = next;
+        retryTimer = loop.schedule(next, delayMs, TimeUnit.MILLISECONDS);
     }
 
     private void applySnapshot(ControlReply.Success snapshot) {
--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -52,6 +52,7 @@
     private final EventLoop loop;
     private final Gateway gateway;
     private final ControlStore store;
+    private StoreWatcher watcher;
     private PeerLoadSync peerLoad;
     private final List<Channel> listeners = new ArrayList<>();
     private boolean deregistering;
@@ -71,6 +72,7 @@
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         GatewayDaemon daemon = new GatewayDaemon(options, platform);
         StoreWatcher watcher = StoreWatcher.of(daemon.store, daemon.loop, daemon.gateway.ticker(), daemon.gateway);
+        daemon.watcher = watcher;
         daemon.peerLoad = PeerLoadSync.start(daemon.gateway, watcher, daemon.loop, daemon.gateway.ticker(), options);
         daemon.gateway.setPeerLoad(daemon.peerLoad);
         daemon.gateway.setCrashes(new CrashQuarantine(daemon.gateway, daemon.store, daemon.peerLoad::broadcast));
@@ -138,11 +140,28 @@
             if (reason == null) {
                 loop.schedule(this::renew, RENEW_INTERVAL_MS, TimeUnit.MILLISECONDS);
             } else {
-                loop.schedule(this::register, REGISTER_RETRY_MS, TimeUnit.MILLISECONDS);
+                scheduleRegistration();
             }
         });
     }
 
+    /** Registers again as soon as the store serves this instance; attempts before that would be billed as well. */
+    private void scheduleRegistration() {
+        loop.schedule(
+                () -> {
+                    if (deregistering) {
+                        return;
+                    }
+                    if (watcher.isConnected()) {
+                        register();
+                    } else {
+                        scheduleRegistration();
+                    }
+                },
+                REGISTER_RETRY_MS,
+                TimeUnit.MILLISECONDS);
+    }
+
     private void renew() {
         if (deregistering) {
             return;
--- a/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
+++ b/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
@@ -12,7 +12,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
-import java.util.stream.Stream;
 import org.jujuberouter.control.StoreWatcher;
 import org.jujuberouter.dispatch.Allocation;
 import org.jujuberouter.dispatch.InstanceGroups;
@@ -49,12 +48,6 @@
     /** Age of this instance's view of the store above which the peers are asked for the age of theirs. */
     private static final long PEER_QUERY_AGE_MS = 2_500;
 
-    /** Interval at which an instance asks one of those that prove the view of the store for the whole group. */
-    private static final long PROOF_QUERY_INTERVAL_MS = 500;
-
-    /** Number of instances of a group that prove the view of the store; one of them may fail. */
-    private static final int PROVING_INSTANCES = 2;
-
     private final Gateway gateway;
     private final StoreWatcher watcher;
     private final StoreProof proof;
@@ -67,8 +60,7 @@
     private final Set<InstanceId> connectedUnlisted = new HashSet<>();
     private Set<InstanceId> members = Set.of();
     private int groupCount;
-    private List<InstanceId> proving;
-    private int proofQueries;
+    private final StoreProofRoles proofRoles;
     private boolean regroupScheduled;
     private PeerNetwork network;
 
@@ -81,7 +73,7 @@
         this.loop = loop;
         this.ticker = ticker;
         this.self = self;
-        this.proving = List.of(self);
+        this.proofRoles = StoreProofRoles.of(self, ticker);
     }
 
     /** Starts listening for peers. */
@@ -93,8 +85,7 @@
         Incarnation incarnation = Incarnation.of(options.instance(), System.currentTimeMillis());
         sync.network = PeerNetwork.startOn(loop, incarnation, options.domain(), options.peers(), ticker, sync);
         loop.scheduleAtFixedRate(sync::sweepWork, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleAtFixedRate(
-                sync::queryProof, PROOF_QUERY_INTERVAL_MS, PROOF_QUERY_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        sync.scheduleProofQuery();
         return sync;
     }
 
@@ -242,7 +233,10 @@
             }
             case PeerMessage.WorkRead m -> gateway.peerWorkRead(m);
             case PeerMessage.WorkEnded m -> removeWork(m.request());
-            case PeerMessage.ContactReport m -> proof.onReport(m);
+            case PeerMessage.ContactReport m -> {
+                proofRoles.onReport(sender, m);
+                proof.onReport(m);
+            }
             case PeerMessage.EndpointFailed m ->
                 gateway.registry().find(m.endpoint()).ifPresent(e -> e.recordPeerFailure(ticker.nanos()));
             case PeerMessage.CrashMessage m -> gateway.crashes().onPeerMessage(m);
@@ -268,29 +262,29 @@
         return allocations;
     }
 
-    /**
-     * Selects the instances that prove the view of the store for the group: the first ones in the order of their names
-     * that are connected. They follow from the connections, so there is nothing to elect; if two instances see
-     * different ones, the store is asked more often than needed.
-     */
+    /** Selects the instances of the group that prove the view of the store by the connected ones. */
     private void selectProving() {
-        proving = Stream.concat(Stream.of(self), members.stream().filter(network::isConnected))
-                .sorted()
-                .limit(PROVING_INSTANCES)
-                .toList();
-        watcher.setProvesForOthers(proving.contains(self) && !members.isEmpty());
+        proofRoles.setConnected(members.stream().filter(network::isConnected), addresses.size() + 1);
+        watcher.setProvesForOthers(proofRoles.proves(watcher.isConnected()));
+    }
+
+    private void scheduleProofQuery() {
+        long delayMs = StoreProofRoles.queryIntervalMs(watcher.awaitsStoreOfPeers());
+        loop.schedule(this::queryProof, delayMs, TimeUnit.MILLISECONDS);
     }
 
-    /** Asks one of the instances that prove the view of the store, unless this instance is one of them. */
+    /** Asks those that prove the view of the store, unless this instance does. */
     private void queryProof() {
-        if (!proving.contains(self)) {
-            send(proving.get(proofQueries++ % proving.size()), new PeerMessage.ContactQuery(ticker.nanos()));
+        for (InstanceId asked : proofRoles.toAsk()) {
+            send(asked, new PeerMessage.ContactQuery(ticker.nanos()));
         }
+        watcher.setProvesForOthers(proofRoles.proves(watcher.isConnected()));
         watcher.checkProof();
+        scheduleProofQuery();
     }
 
     private void answer(PeerConnection from, PeerMessage.ContactQuery query) {
-        if (proof.canReport()) {
+        if (proof.canReport() || proofRoles.isCandidate()) {
             try {
                 from.send(proof.report(query));
             } catch (PeerException e) {
--- a/src/main/java/org/jujuberouter/gateway/StoreProof.java
+++ b/src/main/java/org/jujuberouter/gateway/StoreProof.java
@@ -14,6 +14,9 @@
  * peer has; the same configuration version proves at least the API keys.
  */
 final class StoreProof {
+    /** Age that proves nothing, in place of one that is not known. */
+    private static final long UNKNOWN_AGE_MS = 3_600_000;
+
     private final StoreWatcher watcher;
     private final StoreFreshness configuration;
     private final StoreFreshness view;
@@ -51,8 +54,13 @@
         return configuration.isCurrent();
     }
 
+    /** Returns the report of this instance, without a revision if it does not reach the store. */
     PeerMessage.ContactReport report(PeerMessage.ContactQuery query) {
-        boolean viewKnown = view.isCurrent();
+        if (!canReport()) {
+            return new PeerMessage.ContactReport(
+                    query.queryNanos(), UNKNOWN_AGE_MS, configurationVersion.getAsLong(), 0, 0);
+        }
+        boolean viewKnown = view.isCurrent() && watcher.isConnected();
         return new PeerMessage.ContactReport(
                 query.queryNanos(),
                 configuration.ageMs(),
@@ -67,6 +75,9 @@
             view.confirmAt(viewNanos);
             configuration.confirmAt(viewNanos);
         }
+        if (report.revision() == 0) {
+            watcher.onPeerWithoutStore();
+        }
         if (report.configuration() == configurationVersion.getAsLong()) {
             configuration.confirmAt(reportedTime(report, report.ageMillis()));
         }
