--- a/src/main/java/org/jujuberouter/platform/KvControlStore.java
+++ b/src/main/java/org/jujuberouter/platform/KvControlStore.java
@@ -9,7 +9,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.jujuberouter.control.ControlEvent;
@@ -38,6 +40,7 @@
     private final JsonClient client;
     private final JsonClient watchClient;
     private long lease;
+    private boolean historyLost;
 
     private KvControlStore(JsonClient client, JsonClient watchClient) {
         this.client = client;
@@ -50,31 +53,98 @@
                 JsonClient.to(loop, address, MAX_RESPONSE_BYTES), JsonClient.to(loop, address, MAX_RESPONSE_BYTES));
     }
 
+    /**
+     * Reads all keys page by page; the empty prefix covers the keys of operator, endpoints and instances.
+     *
+     * <p>The pages may be stale, since such a read costs a tenth of a call. A watch that does not wait then adds all
+     * changes since the oldest page, and its answer proves that the state is complete.
+     */
     @Override
     public void read(Consumer<ControlReply> listener) {
-        readPage(new ArrayList<>(), "", 0, listener);
+        if (historyLost) {
+            historyLost = false;
+            readPage(Pages.fresh(), listener);
+        } else {
+            readPage(Pages.stale(), listener);
+        }
+    }
+
+    /** The pages read so far; the revision is that of the oldest one. */
+    private static final class Pages {
+        private final boolean stale;
+        private final Map<String, ControlEvent> entries = new LinkedHashMap<>();
+        private String lastKey = "";
+        private long revision = Long.MAX_VALUE;
+
+        private Pages(boolean stale) {
+            this.stale = stale;
+        }
+
+        private static Pages fresh() {
+            return new Pages(false);
+        }
+
+        private static Pages stale() {
+            return new Pages(true);
+        }
+
+        /** Adds a page or changes; returns the last key. */
+        private String add(JsonNode items) {
+            String last = lastKey;
+            for (JsonNode item : items) {
+                ControlEvent event = event(item);
+                last = event.key();
+                entries.merge(last, event, (a, b) -> b.revision() > a.revision() ? b : a);
+            }
+            return last;
+        }
+
+        private List<ControlEvent> present() {
+            return entries.values().stream()
+                    .filter(e -> e instanceof ControlEvent.Written)
+                    .toList();
+        }
     }
 
-    /** Reads all keys page by page; the empty prefix covers the keys of operator, endpoints and instances. */
-    private void readPage(
-            List<ControlEvent> events, String after, long firstRevision, Consumer<ControlReply> listener) {
-        String path = "/v1/kv-range?Prefix=" + (after.isEmpty() ? "" : "&After=" + encode(after));
+    private void readPage(Pages pages, Consumer<ControlReply> listener) {
+        String path = "/v1/kv-range?Prefix="
+                + (pages.lastKey.isEmpty() ? "" : "&After=" + encode(pages.lastKey))
+                + (pages.stale ? "&AllowStale=1" : "");
         client.call("GET", path, null, CALL_TIMEOUT_MS, reply -> {
+            if (pages.stale && reply instanceof JsonReply.Response r && r.status() == 400) {
+                // The store does not know the parameter.
+                readPage(Pages.fresh(), listener);
+                return;
+            }
             if (!(reply instanceof JsonReply.Response r) || !isState(r)) {
                 listener.accept(failed("read", reply));
                 return;
             }
-            long revision = firstRevision == 0 ? r.body().path("At").asLong() : firstRevision;
-            String last = after;
-            for (JsonNode item : r.body().path("Items")) {
-                ControlEvent event = event(item);
-                events.add(event);
-                last = event.key();
+            pages.revision = Math.min(pages.revision, r.body().path("At").asLong());
+            String last = pages.add(r.body().path("Items"));
+            if (r.body().path("HasMore").asBoolean() && !last.equals(pages.lastKey)) {
+                pages.lastKey = last;
+                readPage(pages, listener);
+            } else if (pages.stale) {
+                addChanges(pages, listener);
+            } else {
+                listener.accept(new ControlReply.Success(pages.present(), pages.revision));
             }
-            if (r.body().path("HasMore").asBoolean() && !last.equals(after)) {
-                readPage(events, last, revision, listener);
+        });
+    }
+
+    /** Adds the changes since the oldest page. */
+    private void addChanges(Pages pages, Consumer<ControlReply> listener) {
+        String path = "/v1/kv-watch?Prefix=&After=" + pages.revision + "&WaitMs=1";
+        client.call("GET", path, null, CALL_TIMEOUT_MS, reply -> {
+            if (reply instanceof JsonReply.Response r && isState(r)) {
+                pages.add(r.body().path("events"));
+                listener.accept(new ControlReply.Success(
+                        pages.present(), r.body().path("At").asLong()));
+            } else if (reply instanceof JsonReply.Response r && r.status() == 410) {
+                readPage(Pages.fresh(), listener);
             } else {
-                listener.accept(new ControlReply.Success(events, revision));
+                listener.accept(failed("read of the changes since revision " + pages.revision, reply));
             }
         });
     }
@@ -89,6 +159,7 @@
                 long revision = r.body().path("At").asLong();
                 listener.accept(new ControlReply.Success(events, revision));
             } else if (reply instanceof JsonReply.Response r && r.status() == 410) {
+                historyLost = true;
                 listener.accept(new ControlReply.Compacted());
             } else {
                 listener.accept(failed("watch", reply));
--- a/src/main/java/org/jujuberouter/platform/standin/KvStandin.java
+++ b/src/main/java/org/jujuberouter/platform/standin/KvStandin.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -31,6 +32,7 @@
     }
 
     private static final int MAX_HISTORY = 10_000;
+    private static final long CALL_TENTHS = 10;
     private static final long SILENCE_MS = 30_000;
 
     private final Object lock = new Object();
@@ -41,9 +43,14 @@
     private long revision = 1;
     private long leases;
     private long renewals;
+    private long billedTenths;
+    private int pageSize = Integer.MAX_VALUE;
+    private Optional<Stale> stale = Optional.empty();
     private long compactedRevision;
     private volatile Mode mode = Mode.SERVING;
 
+    private record Stale(TreeMap<String, ObjectNode> items, long revision) {}
+
     private KvStandin(HttpServer server) {
         this.server = server;
     }
@@ -71,6 +78,27 @@
         }
     }
 
+    /** Sets the number of items of a page. */
+    public void setPageSize(int items) {
+        synchronized (lock) {
+            pageSize = items;
+        }
+    }
+
+    /** Answers reads that allow a stale state from the present one from now on. */
+    public void keepStale() {
+        synchronized (lock) {
+            stale = Optional.of(new Stale(new TreeMap<>(items), revision));
+        }
+    }
+
+    /** Returns what the calls so far cost, in tenths of a call. */
+    public long billedTenths() {
+        synchronized (lock) {
+            return billedTenths;
+        }
+    }
+
     /** Writes a value without a lease, as the operator or an endpoint would. */
     public void put(String key, String value) {
         synchronized (lock) {
@@ -141,6 +169,8 @@
         String path = exchange.getRequestURI().getPath();
         Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
         synchronized (lock) {
+            boolean isCheap = path.startsWith("/v1/kv-keep/") || query.containsKey("AllowStale");
+            billedTenths += isCheap ? 1 : CALL_TENTHS;
             return switch (path) {
                 case "/v1/kv-range" -> readRange(query, reply);
                 case "/v1/kv-watch" -> watch(query, reply);
@@ -172,13 +202,20 @@
     }
 
     private int readRange(Map<String, String> query, ObjectNode reply) {
+        Stale source = stale.filter(_ -> query.containsKey("AllowStale")).orElse(new Stale(items, revision));
         ArrayNode found = reply.putArray("Items");
-        items.tailMap(query.getOrDefault("After", ""), false).forEach((key, item) -> {
-            if (key.startsWith(query.getOrDefault("Prefix", ""))) {
-                found.add(item);
+        boolean hasMore = false;
+        for (Map.Entry<String, ObjectNode> e :
+                source.items.tailMap(query.getOrDefault("After", ""), false).entrySet()) {
+            if (e.getKey().startsWith(query.getOrDefault("Prefix", ""))) {
+                hasMore = found.size() == pageSize;
+                if (hasMore) {
+                    break;
+                }
+                found.add(e.getValue());
             }
-        });
-        reply.put("HasMore", false).put("At", revision);
+        }
+        reply.put("HasMore", hasMore).put("At", source.revision);
         return 200;
     }
 
--- a/src/test/java/org/jujuberouter/platform/KvControlStoreTest.java
+++ b/src/test/java/org/jujuberouter/platform/KvControlStoreTest.java
@@ -1,5 +1,6 @@
 package org.jujuberouter.platform;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 import io.netty.channel.EventLoop;
@@ -11,13 +12,17 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.jujuberouter.control.ControlEvent;
 import org.jujuberouter.control.ControlReply;
 import org.jujuberouter.control.ControlStore;
+import org.jujuberouter.platform.standin.KvStandin;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -46,6 +51,58 @@
         assertInstanceOf(ControlReply.Failed.class, reply(response, ControlStore::read));
     }
 
+    private ControlReply.Success read(KvStandin site) throws Exception {
+        CompletableFuture<ControlReply> reply = new CompletableFuture<>();
+        loop.execute(() -> KvControlStore.at(loop, site.address()).read(reply::complete));
+        return assertInstanceOf(ControlReply.Success.class, reply.get(5, TimeUnit.SECONDS));
+    }
+
+    private static void assertKeys(List<String> keys, ControlReply.Success read) {
+        assertEquals(keys, read.events().stream().map(ControlEvent::key).toList());
+    }
+
+    /** Three pages cost three calls at each start of an instance. */
+    @Test
+    void readsThreePagesAtTheCostOfLittleMoreThanOneCall() throws Exception {
+        try (KvStandin site = KvStandin.start()) {
+            site.setPageSize(2);
+            List.of("a", "b", "c", "d", "e").forEach(k -> site.put(k, "{}"));
+            assertKeys(List.of("a", "b", "c", "d", "e"), read(site));
+            assertEquals(13, site.billedTenths());
+        }
+    }
+
+    /** A stale page must not hide a change, such as a revoked API key or an endpoint that has left. */
+    @Test
+    void addsAllChangesSinceTheOldestPageToAStaleRead() throws Exception {
+        try (KvStandin site = KvStandin.start()) {
+            List.of("a", "b").forEach(k -> site.put(k, "{}"));
+            site.keepStale();
+            site.put("a", "{}");
+            site.remove("b");
+            site.put("c", "{}");
+            site.put("d", "{}");
+            site.remove("d");
+            ControlReply.Success read = read(site);
+            assertKeys(List.of("a", "c"), read);
+            assertEquals(8, read.revision());
+            assertEquals(4, read.events().getFirst().revision());
+        }
+    }
+
+    /** The changes since a stale page may be compacted. */
+    @Test
+    void readsTheStateItselfWhenTheChangesSinceAStaleReadAreGone() throws Exception {
+        try (KvStandin site = KvStandin.start()) {
+            site.put("a", "{}");
+            site.keepStale();
+            site.remove("a");
+            site.put("b", "{}");
+            site.forgetHistory();
+            assertKeys(List.of("b"), read(site));
+        }
+    }
+
     private ControlReply reply(String response, BiConsumer<ControlStore, Consumer<ControlReply>> call)
             throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
