--- a/src/main/java/org/jujuberouter/cli/ServeCommand.java
+++ b/src/main/java/org/jujuberouter/cli/ServeCommand.java
@@ -67,6 +67,7 @@
         Path file = nodeFile != null
                 ? nodeFile
                 : Path.of(System.getenv().getOrDefault(NodeFile.PATH_VARIABLE, NodeFile.DEFAULT_PATH));
+        GatewayDaemon.useJdkLogging();
         GatewayOptions options;
         try {
             options = applyEnvironment(NodeFile.read(file));
--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -53,6 +53,7 @@
     private final EventLoop loop;
     private final Gateway gateway;
     private final ControlStore store;
+    private StoreWatcher watcher;
     private PeerLoadSync peerLoad;
     private final List<Channel> listeners = new ArrayList<>();
     private boolean deregistering;
@@ -66,12 +67,20 @@
         this.store = platform.store(loop, options.store());
     }
 
+    /**
+     * Makes Netty log through the JDK. Otherwise the first use of one of its classes searches the class path for other
+     * logging libraries, which takes time at the start.
+     */
+    public static void useJdkLogging() {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+    }
+
     /** Starts an instance. */
     public static GatewayDaemon start(GatewayOptions options, PlatformAdapter platform) throws IOException {
-        // Otherwise Netty selects a logging library according to the class path.
-        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        useJdkLogging();
         GatewayDaemon daemon = new GatewayDaemon(options, platform);
         StoreWatcher watcher = StoreWatcher.of(daemon.store, daemon.loop, daemon.gateway.ticker(), daemon.gateway);
+        daemon.watcher = watcher;
         daemon.peerLoad = PeerLoadSync.start(daemon.gateway, watcher, daemon.loop, daemon.gateway.ticker(), options);
         daemon.gateway.setPeerLoad(daemon.peerLoad);
         daemon.gateway.setCrashes(new CrashQuarantine(daemon.gateway, daemon.store, daemon.peerLoad::broadcast));
@@ -158,11 +167,28 @@
                 gateway.duties().ifPresent(d -> d.leaseRenewed(sentNanos));
                 loop.schedule(this::renew, RENEW_INTERVAL_MS, TimeUnit.MILLISECONDS);
             } else {
-                loop.schedule(this::register, REGISTER_RETRY_MS, TimeUnit.MILLISECONDS);
+                scheduleRegistration();
             }
         });
     }
 
+    /** Registers again as soon as the store serves this instance; attempts before that would be billed as well. */
+    private void scheduleRegistration() {
+        loop.schedule(
+                () -> {
+                    if (deregistering) {
+                        return;
+                    }
+                    if (watcher.isConnected()) {
+                        register();
+                    } else {
+                        scheduleRegistration();
+                    }
+                },
+                REGISTER_RETRY_MS,
+                TimeUnit.MILLISECONDS);
+    }
+
     private void renew() {
         if (deregistering) {
             return;
--- a/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
@@ -142,12 +142,15 @@
                 network(e));
     }
 
-    /** Each delay applies in both directions. */
+    /** Each delay applies in both directions; an entry that cannot be read counts as unknown. */
     private static DomainNetwork network(JsonNode engine) {
         Map<FailureDomain, Map<FailureDomain, Double>> delays = new HashMap<>();
         for (JsonNode d : engine.path("delays")) {
-            FailureDomain one = FailureDomain.of(KvValueCodec.text(d, "Source"));
-            FailureDomain other = FailureDomain.of(KvValueCodec.text(d, "TargetVersion"));
+            if (!d.path("Source").isTextual() || !d.path("TargetVersion").isTextual()) {
+                continue;
+            }
+            FailureDomain one = FailureDomain.of(d.path("Source").asText());
+            FailureDomain other = FailureDomain.of(d.path("TargetVersion").asText());
             double delayMs = Math.max(0, d.path("delay_ms").asDouble());
             delays.computeIfAbsent(one, _ -> new HashMap<>()).put(other, delayMs);
             delays.computeIfAbsent(other, _ -> new HashMap<>()).put(one, delayMs);
