--- a/src/main/java/org/jujuberouter/dispatch/CallQueue.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallQueue.java
@@ -30,6 +30,9 @@
      */
     private static final int MAX_FAILURES_PER_CLASS = 12;
 
+    /** Class of the calls of customers that are kept below their shares, before all priorities. */
+    private static final int KEPT_BELOW_SHARE_CLASS = -1;
+
     private final Ticker ticker;
     private final FairShare shares;
     private final Map<C, Entry<C>> waiting = new LinkedHashMap<>();
@@ -53,8 +56,9 @@
 
         private void rank(FairShare shares, long now) {
             double waitedMs = (now - arrivedNanos) / 1e6;
-            late = !requirements.canBeOnTime(waitedMs);
-            priorityClass = shares.priorityClass(requirements, waitedMs);
+            boolean keptBelowShare = shares.standing(requirements) == CustomerStanding.KEPT_BELOW_SHARE;
+            late = !keptBelowShare && !requirements.canBeOnTime(waitedMs);
+            priorityClass = keptBelowShare ? KEPT_BELOW_SHARE_CLASS : shares.priorityClass(requirements, waitedMs);
         }
 
         private boolean isLate() {
@@ -124,7 +128,7 @@
         }
         failures.clear();
         for (Entry<C> e : behind) {
-            if (!e.deferred && shares.isDeferred(e.requirements)) {
+            if (!e.deferred && shares.standing(e.requirements) == CustomerStanding.DEFERRED) {
                 e.deferred = true;
                 shares.countDeferredCall();
             }
--- a/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
@@ -179,27 +179,28 @@
      */
     public PlacementDecision place(
             CallRequirements requirements, ServiceSpec service, Set<EndpointId> tried, double waitedMs) {
-        return place(requirements, service, tried, waitedMs, false);
+        return place(requirements, service, tried, waitedMs, CustomerStanding.NORMAL);
     }
 
     /**
      * Decides whether a call is sent, queued or refused.
      *
-     * @param deferred whether calls of customers below their share go first; such a call leaves a freed slot of an engine
-     *     to those that wait at other instances, but takes a slot of an endpoint whose calls are short, because the
-     *     slot would be free for a large part of the time
+     * @param standing how the customer stands to its fair share; a deferred call leaves a freed slot of an engine to calls
+     *     that wait at other instances, but takes a slot of an endpoint whose calls are short, because the slot would
+     *     be free for a large part of the time
      */
     public PlacementDecision place(
             CallRequirements requirements,
             ServiceSpec service,
             Set<EndpointId> tried,
             double waitedMs,
-            boolean deferred) {
+            CustomerStanding standing) {
         long now = ticker.nanos();
         boolean waitExhausted = waitedMs > requirements.callerTimeoutMs() * MAX_WAIT_FRACTION;
-        boolean yields = (!requirements.canBeOnTime(waitedMs)
-                        || deferred && service.engine().isPresent())
-                && !waitExhausted;
+        boolean yieldsLate = !requirements.canBeOnTime(waitedMs) && standing != CustomerStanding.KEPT_BELOW_SHARE;
+        boolean yieldsDeferred =
+                standing == CustomerStanding.DEFERRED && service.engine().isPresent();
+        boolean yields = (yieldsLate || yieldsDeferred) && !waitExhausted;
         boolean anyUsable = false;
         List<TrackedEndpoint> available = new ArrayList<>();
         List<TrackedEndpoint> healthy = new ArrayList<>();
--- a/src/main/java/org/jujuberouter/dispatch/FairShare.java
+++ b/src/main/java/org/jujuberouter/dispatch/FairShare.java
@@ -51,6 +51,15 @@
      */
     private static final double MIN_PRIORITY_FRACTION = 0.8;
 
+    /** Fraction of the fair share below which a customer that waits is not served as it should be. */
+    private static final double BELOW_SHARE_FRACTION = 0.9;
+
+    /**
+     * Time below the share after which late calls are not put back. Random variation seldom lasts as long, so in a
+     * general overload late calls rarely take the places of calls that can be on time.
+     */
+    private static final long MAX_BELOW_SHARE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
     /** Maximum number of passes over the accounts to find the level; the level is exact after a few. */
     private static final int MAX_PASSES = 16;
 
@@ -64,9 +73,11 @@
     private static final class Account {
         private double usage;
         private long contendsUntil;
+        private long notBelowShareAt;
 
         private Account(long now) {
             contendsUntil = now;
+            notBelowShareAt = now;
         }
 
         private boolean contends(long now) {
@@ -85,7 +96,8 @@
         private final Map<Optional<CustomerId>, Account> accounts = new HashMap<>();
         private final Map<Integer, PriorityWork> priorities = new HashMap<>();
         private double total;
-        private double limit;
+        private double level;
+        private long computedNanos;
         private boolean scarce;
         private boolean belowShareContends;
         private int highestPriority;
@@ -176,10 +188,16 @@
         growth(roundNanos);
         for (Contest contest : contests.values()) {
             if (contest.scarce) {
-                contest.limit = level(contest, roundNanos) * DEFERRAL_THRESHOLD;
+                contest.level = level(contest, roundNanos);
                 contest.belowShareContends = false;
+                boolean interrupted = roundNanos - contest.computedNanos > MAX_ROUND_AGE_NANOS;
+                contest.computedNanos = roundNanos;
                 for (Account account : contest.accounts.values()) {
-                    contest.belowShareContends |= account.contends(roundNanos) && account.usage <= contest.limit;
+                    boolean contends = account.contends(roundNanos);
+                    contest.belowShareContends |= contends && account.usage <= contest.level * DEFERRAL_THRESHOLD;
+                    if (interrupted || !contends || account.usage >= contest.level * BELOW_SHARE_FRACTION) {
+                        account.notBelowShareAt = roundNanos;
+                    }
                 }
             }
         }
@@ -192,7 +210,8 @@
 
     /**
      * Returns the class of a waiting call, the lowest first. Classes differ only while the service is scarce. A call that
-     * cannot wait much longer is of the first class while its priority has had too little, so that it does not starve.
+     * cannot wait much longer is of the first class while its priority or its customer has had too little, so that it
+     * does not starve.
      */
     int priorityClass(CallRequirements call, double waitedMs) {
         Contest contest = contests.get(call.service());
@@ -205,29 +224,37 @@
         }
         PriorityWork own = contest.priorities.get(priority);
         PriorityWork highest = contest.priorities.get(contest.highestPriority);
-        boolean servedLess = own.placed * highest.arrived < MIN_PRIORITY_FRACTION * highest.placed * own.arrived;
-        return servedLess ? contest.highestPriority : priority;
+        boolean priorityServedLess =
+                own.placed * highest.arrived < MIN_PRIORITY_FRACTION * highest.placed * own.arrived;
+        boolean customerServedLess = usage(contest, call) < MIN_PRIORITY_FRACTION * contest.level;
+        return priorityServedLess || customerServedLess ? contest.highestPriority : priority;
     }
 
     /** Returns whether the customer of a call has had more than its fair share of a scarce service. */
     boolean isAboveShare(CallRequirements call) {
+        Contest contest = contests.get(call.service());
+        return contest != null && contest.scarce && usage(contest, call) > contest.level * DEFERRAL_THRESHOLD;
+    }
+
+    /** Returns how the customer of a call stands to its fair share of the service. */
+    public CustomerStanding standing(CallRequirements call) {
+        if (!anyScarce || ticker.nanos() - roundNanos >= MAX_ROUND_AGE_NANOS) {
+            return CustomerStanding.NORMAL;
+        }
         Contest contest = contests.get(call.service());
         if (contest == null || !contest.scarce) {
-            return false;
+            return CustomerStanding.NORMAL;
         }
         Account account = contest.accounts.get(call.claim().customer());
-        return account != null && account.usage > contest.limit;
+        if (account != null && roundNanos - account.notBelowShareAt > MAX_BELOW_SHARE_NANOS) {
+            return CustomerStanding.KEPT_BELOW_SHARE;
+        }
+        return isAboveShare(call) && contest.belowShareContends ? CustomerStanding.DEFERRED : CustomerStanding.NORMAL;
     }
 
-    /**
-     * Returns whether a call has to let calls of other customers go first: its customer is above its share, and one
-     * below it has calls that wait at this instance or had to wait at a peer.
-     */
-    public boolean isDeferred(CallRequirements call) {
-        return anyScarce
-                && ticker.nanos() - roundNanos < MAX_ROUND_AGE_NANOS
-                && isAboveShare(call)
-                && contests.get(call.service()).belowShareContends;
+    private static double usage(Contest contest, CallRequirements call) {
+        Account account = contest.accounts.get(call.claim().customer());
+        return account == null ? 0 : account.usage;
     }
 
     /** Counts a call that was put behind calls of other customers because of its customer's share. */
@@ -305,7 +332,7 @@
         double decay = Math.exp(-exponent);
         originNanos = now;
         for (Contest contest : contests.values()) {
-            contest.limit *= decay;
+            contest.level *= decay;
             contest.total = 0;
             for (PriorityWork work : contest.priorities.values()) {
                 work.arrived *= decay;
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -18,6 +18,7 @@
 import org.jujuberouter.catalog.Route;
 import org.jujuberouter.catalog.ServiceSpec;
 import org.jujuberouter.dispatch.CallRequirements;
+import org.jujuberouter.dispatch.CustomerStanding;
 import org.jujuberouter.dispatch.PlacementDecision;
 import org.jujuberouter.dispatch.TrackedEndpoint;
 import org.jujuberouter.error.ExecutionOutcome;
@@ -179,11 +180,11 @@
             return true;
         }
         double waitedMs = (gateway.ticker().nanos() - telemetry.arrivedNanos()) / 1e6;
-        boolean deferred = gateway.isDeferred(requirements);
-        switch (gateway.scheduler().place(requirements, service, triedEndpoints, waitedMs, deferred)) {
+        CustomerStanding standing = gateway.standing(requirements);
+        switch (gateway.scheduler().place(requirements, service, triedEndpoints, waitedMs, standing)) {
             case PlacementDecision.Send send -> send(send);
             case PlacementDecision.Wait wait -> {
-                telemetry.waiting(wait.reason(), deferred, triedEndpoints.size());
+                telemetry.waiting(wait.reason(), standing == CustomerStanding.DEFERRED, triedEndpoints.size());
                 return false;
             }
             case PlacementDecision.Refuse refuse -> refuseOrFail(refuse.reason(), refuse.retryAfterMs());
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -30,6 +30,7 @@
 import org.jujuberouter.dispatch.CallQueue;
 import org.jujuberouter.dispatch.CallRequirements;
 import org.jujuberouter.dispatch.CallScheduler;
+import org.jujuberouter.dispatch.CustomerStanding;
 import org.jujuberouter.dispatch.EndpointRegistry;
 import org.jujuberouter.dispatch.FairShare;
 import org.jujuberouter.dispatch.RetryLimiter;
@@ -273,9 +274,9 @@
         }
     }
 
-    /** Returns whether a call has to let calls of customers below their share go first. */
-    boolean isDeferred(CallRequirements requirements) {
-        return shares.isDeferred(requirements);
+    /** Returns how the customer of a call stands to its fair share of the service. */
+    CustomerStanding standing(CallRequirements requirements) {
+        return shares.standing(requirements);
     }
 
     /** Records the first event of a call and by how much it was later than predicted, or earlier if negative. */
