--- a/src/test/java/org/jujuberouter/duty/DutyControlTest.java
+++ b/src/test/java/org/jujuberouter/duty/DutyControlTest.java
@@ -161,6 +161,23 @@
                         .correctionMs());
     }
 
+    /** Leases lapse while the store is down, so the list of instances may be short when a new leader is elected. */
+    @Test
+    void waitsForTheReportsOfUnlistedInstancesWhenItsTermBegins() {
+        long window = WALL_MS / 5_000;
+        advance(7_000);
+        lead();
+        control.reportReceived(SELF, report(WALL_MS + 7_000));
+        advance(500);
+        tick(SELF);
+        assertEquals(List.of("create"), actions);
+        WindowCounts counts = new WindowCounts(OTHER, window, Map.of(CUSTOMER, 3L));
+        control.reportReceived(OTHER, report(WALL_MS + 7_500, counts));
+        advance(600);
+        tick(SELF);
+        assertEquals(List.of("create", "commit " + window + " {fida11=3}"), actions);
+    }
+
     /** Instances that stop in turn take the counts with them that only the former leader knows. */
     @Test
     void passesOnTheCountsOfAnInstanceThatHasEnded() {
@@ -204,7 +221,9 @@
         }
 
         @Override
-        public void commitWindow(DutyTerm term, long window, Map<CustomerId, Long> counts, List<Long> obsolete) {}
+        public void commitWindow(DutyTerm term, long window, Map<CustomerId, Long> counts, List<Long> obsolete) {
+            actions.add("commit " + window + " " + counts);
+        }
 
         @Override
         public void sendUsage(DutyTerm term, long window, Map<CustomerId, Long> counts) {}
