--- a/src/main/java/org/jujuberouter/catalog/ServiceSpec.java
+++ b/src/main/java/org/jujuberouter/catalog/ServiceSpec.java
@@ -12,10 +12,22 @@
  * @param coldCallsPerSecond calls per second that an endpoint can serve during its cold start; 0 if it has
  *     no cold start
  * @param engine cost model of its inference engines; empty for a plain service
+ * @param scaling bounds for the number of engines; empty if the number is fixed
  */
 public record ServiceSpec(
         ServiceName name,
         String healthPath,
         int maxConnections,
         double coldCallsPerSecond,
-        Optional<EngineCostModel> engine) {}
+        Optional<EngineCostModel> engine,
+        Optional<ScalingSpec> scaling) {
+    /** Creates the declaration of a service with a fixed number of endpoints. */
+    public ServiceSpec(
+            ServiceName name,
+            String healthPath,
+            int maxConnections,
+            double coldCallsPerSecond,
+            Optional<EngineCostModel> engine) {
+        this(name, healthPath, maxConnections, coldCallsPerSecond, engine, Optional.empty());
+    }
+}
--- a/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
@@ -14,6 +14,7 @@
 import org.jujuberouter.catalog.EngineCostModel;
 import org.jujuberouter.catalog.RetryPolicy;
 import org.jujuberouter.catalog.Route;
+import org.jujuberouter.catalog.ScalingSpec;
 import org.jujuberouter.catalog.ServiceSpec;
 import org.jujuberouter.control.ControlEntry;
 import org.jujuberouter.id.CustomerId;
@@ -25,6 +26,12 @@
     private static final long MIN_STREAM_CALLER_TIMEOUT_MS = 2_000;
     private static final long CALLER_TIMEOUT_PER_OBJECTIVE = 4;
     private static final long CALLER_TIMEOUT_PER_GAP = 8;
+    private static final double MS_PER_SECOND = 1_000;
+
+    private static final double DEFAULT_BOOT_TIME_S = 8;
+
+    /** Maximum boot time of an engine; a longer one is a mistake in the unit of the entry. */
+    private static final double MAX_BOOT_TIME_S = 3_600;
 
     private ConfigurationDecoder() {}
 
@@ -55,7 +62,7 @@
         List<ServiceSpec> services = new ArrayList<>();
         for (JsonNode s : config.path("Services")) {
             try {
-                services.add(service(s));
+                services.add(service(s, unreadable));
             } catch (IllegalArgumentException e) {
                 unreadable.add("service " + s.path("Name").asText() + ": " + e.getMessage());
             }
@@ -115,14 +122,51 @@
         };
     }
 
-    private static ServiceSpec service(JsonNode s) {
+    private static ServiceSpec service(JsonNode s, List<String> unreadable) {
         JsonNode engine = s.path("Engine");
         return new ServiceSpec(
                 ServiceName.of(KvValueCodec.text(s, "Name")),
                 s.path("HealthCheck").asText("/"),
                 s.path("MaxConnections").asInt(Integer.MAX_VALUE),
                 s.path("ColdPerS").asDouble(),
-                engine.isObject() ? Optional.of(engine(engine)) : Optional.empty());
+                engine.isObject() ? Optional.of(engine(engine)) : Optional.empty(),
+                scaling(s, unreadable));
+    }
+
+    /** Decodes the bounds of autoscaling; with invalid bounds the service is served by the engines that it has. */
+    private static Optional<ScalingSpec> scaling(JsonNode service, List<String> unreadable) {
+        JsonNode s = service.path("Scaling");
+        if (s.isMissingNode() || s.isNull()) {
+            return Optional.empty();
+        }
+        try {
+            JsonNode bootTime = s.path("BootTimeS");
+            double bootTimeS = bootTime.isMissingNode() ? DEFAULT_BOOT_TIME_S : number(bootTime, "BootTimeS");
+            if (!(bootTimeS <= MAX_BOOT_TIME_S)) {
+                throw new IllegalArgumentException("BootTimeS " + bootTimeS + " is above " + MAX_BOOT_TIME_S);
+            }
+            int min = engineCount(s, "Min");
+            int max = engineCount(s, "Max");
+            return Optional.of(new ScalingSpec(min, max, Math.round(bootTimeS * MS_PER_SECOND)));
+        } catch (IllegalArgumentException e) {
+            unreadable.add("scaling of service " + service.path("Name").asText() + ": " + e.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private static int engineCount(JsonNode scaling, String field) {
+        double count = number(scaling.path(field), field);
+        if (count != (int) count) {
+            throw new IllegalArgumentException(field + " is not a number of engines: " + count);
+        }
+        return (int) count;
+    }
+
+    private static double number(JsonNode value, String field) {
+        if (!value.isNumber()) {
+            throw new IllegalArgumentException(field + " is not a number: " + value);
+        }
+        return value.doubleValue();
     }
 
     private static EngineCostModel engine(JsonNode e) {
--- a/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
+++ b/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
@@ -49,6 +49,7 @@
             Map.entry("outcome", Set.of("error", "store")),
             Map.entry("orders", Set.of("store", "settings")),
             Map.entry("quarantine", Set.of()),
+            Map.entry("scaling", Set.of("catalog", "dispatch", "duty")),
             Map.entry("stream", Set.of()),
             Map.entry("settings", Set.of("store")));
 
--- a/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
+++ b/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
@@ -9,12 +9,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import org.jujuberouter.catalog.ApiKeys;
 import org.jujuberouter.catalog.Catalog;
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.catalog.RetryPolicy;
+import org.jujuberouter.catalog.ScalingSpec;
 import org.jujuberouter.control.ControlEntry;
+import org.jujuberouter.id.ServiceName;
 import org.junit.jupiter.api.Test;
 
 /** Guards against misread values of the store and against invalid values written by other programs. */
@@ -171,6 +174,36 @@
                 .apiKeys();
     }
 
+    /** Guards against engines that are ordered by bounds that the operator cannot have meant. */
+    @Test
+    void leavesAServiceWithInvalidBoundsWithoutScaling() {
+        assertEquals(
+                Optional.of(new ScalingSpec(2, 9, 12_500)), scaling("{\"Min\":2,\"Max\":9,\"BootTimeS\":12.5}", 0));
+        assertEquals(Optional.of(new ScalingSpec(0, 9, 8_000)), scaling("{\"Min\":0,\"Max\":9}", 0));
+        for (String invalid : List.of(
+                "7",
+                "{\"Max\":9,\"BootTimeS\":8}",
+                "{\"Min\":\"2\",\"Max\":9}",
+                "{\"Min\":9,\"Max\":2}",
+                "{\"Min\":-1,\"Max\":2}",
+                "{\"Min\":0,\"Max\":0}",
+                "{\"Min\":2.5,\"Max\":9}",
+                "{\"Min\":2,\"Max\":9000000000}",
+                "{\"Min\":2,\"Max\":9,\"BootTimeS\":0}",
+                "{\"Min\":2,\"Max\":9,\"BootTimeS\":8000}")) {
+            assertEquals(Optional.empty(), scaling(invalid, 1), invalid);
+        }
+        assertEquals(Optional.empty(), scaling("null", 0));
+    }
+
+    private static Optional<ScalingSpec> scaling(String entry, int unreadable) {
+        String config = "{\"Version\":1,\"Services\":[{\"Name\":\"s\",\"Scaling\":" + entry + "}]}";
+        ControlEntry.Configuration read =
+                assertInstanceOf(ControlEntry.Configuration.class, decode("op/config", config));
+        assertEquals(unreadable, read.unreadable().size(), entry);
+        return read.catalog().service(ServiceName.of("s")).orElseThrow().scaling();
+    }
+
     @Test
     void reportsARouteOfAnUnknownTypeAndServesNoneOfItsCalls() {
         String config =
