--- a/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
@@ -80,6 +80,14 @@
         metrics.gauge(name, value::getAsLong);
     }
 
+    void gauge(String name, String labels, LongSupplier value) {
+        metrics.gauge(name, labels, value::getAsLong);
+    }
+
+    void removeGauges(String name) {
+        metrics.removeGauges(name);
+    }
+
     String render() {
         return metrics.render();
     }
--- a/src/main/java/org/jujuberouter/scaling/ScaleController.java
+++ b/src/main/java/org/jujuberouter/scaling/ScaleController.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jujuberouter.catalog.ServiceSpec;
 import org.jujuberouter.duty.ServiceDemand;
 import org.jujuberouter.id.ServiceName;
@@ -48,7 +50,7 @@
         leaderChanged(0);
     }
 
-    /** Returns a controller whose instance is about to become the leader. */
+    /** Returns a controller; {@link #leaderChanged} begins each term of its instance as the leader. */
     public static ScaleController of(ScalingPolicy policy, ScalingObserver observer) {
         return new ScaleController(policy, observer);
     }
@@ -81,11 +83,12 @@
         boolean mayShrink = complete && nowMs - takenOutAtMs >= DOMAIN_RETURN_MS;
 
         List<ScaleOrder> decided = new ArrayList<>();
+        Set<ServiceName> scaled = new HashSet<>();
         for (ServiceSpec service : inputs.services()) {
             if (service.scaling().isEmpty() || service.engine().isEmpty()) {
-                scalers.remove(service.name());
                 continue;
             }
+            scaled.add(service.name());
             ServiceScaler scaler =
                     scalers.computeIfAbsent(service.name(), _ -> new ServiceScaler(policy, orders, observer, nowMs));
             addReports(scaler.rates(), service, inputs.reports());
@@ -97,11 +100,12 @@
                     mayShrink,
                     nowMs));
         }
+        scalers.keySet().retainAll(scaled);
         return decided;
     }
 
     private void addReports(DemandRates rates, ServiceSpec service, List<InstanceReport> reports) {
-        int slots = service.engine().orElseThrow().slots();
+        int slots = Math.max(1, service.engine().orElseThrow().slots());
         // A sample from before the window is needed to measure over all of it.
         long keptMs = policy.meanWindowMs() + STALE_MS;
         for (InstanceReport report : reports) {
--- a/src/main/java/org/jujuberouter/scaling/ServiceScaler.java
+++ b/src/main/java/org/jujuberouter/scaling/ServiceScaler.java
@@ -180,11 +180,12 @@
             double load,
             long nowMs) {
         List<ScaleOrder> decided = new ArrayList<>();
+        engines.forEach((domain, count) -> observer.engines(
+                service.name(), domain, wanted.getOrDefault(domain, count.registered()), count.registered()));
         boolean grows = false;
         for (Map.Entry<FailureDomain, Integer> entry : wanted.entrySet()) {
             FailureDomain domain = entry.getKey();
             int registered = engines.get(domain).registered();
-            observer.engines(service.name(), domain, entry.getValue(), registered);
             if (entry.getValue().equals(counts.get(domain)) || orders.isHeldBack(service.name(), domain, nowMs)) {
                 continue;
             }
--- a/src/main/java/org/jujuberouter/telemetry/LabelledMetrics.java
+++ b/src/main/java/org/jujuberouter/telemetry/LabelledMetrics.java
@@ -29,6 +29,16 @@
         registry.register(name + "{}", gauge);
     }
 
+    /** Registers a gauge with labels of the form {@code a="b",c="d"}. */
+    public void gauge(String name, String labels, Gauge<Long> gauge) {
+        registry.register(name + "{" + labels + "}", gauge);
+    }
+
+    /** Removes all gauges with the given name, because this instance no longer knows their values. */
+    public void removeGauges(String name) {
+        registry.removeMatching((key, _) -> key.startsWith(name + "{"));
+    }
+
     /** Increments a counter; labels have the form {@code a="b",c="d"}. */
     public void count(String name, String labels, long number) {
         registry.counter(name + "{" + labels + "}").inc(number);
