--- a/src/main/java/org/jujuberouter/scaling/ServiceScaler.java
+++ b/src/main/java/org/jujuberouter/scaling/ServiceScaler.java
@@ -103,7 +103,9 @@
         double peak = peaks.max(policy.peakMemoryMs(), nowMs);
         double forRise = Math.max(recent / policy.recentUtilisation(), peak / policy.peakUtilisation());
         int needed = Math.max(1, ceil(Math.max(mean / policy.targetUtilisation(), forRise)));
-        required.add(needed, nowMs);
+        if (isMeanKnown) {
+            required.add(needed, nowMs);
+        }
 
         Map<FailureDomain, Integer> wanted = new TreeMap<>(supply.counts);
         EngineDivision division =
@@ -121,7 +123,7 @@
         }
         if (missing > 0 && mayGrow) {
             division.grow(wanted, missing);
-        } else if (missing <= 0 && mayShrink && !isShort) {
+        } else if (missing <= 0 && isMeanKnown && mayShrink && !isShort) {
             division.shrink(wanted, surplus(supply, bounds, nowMs));
             reason = "low load";
         }
