--- a/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
@@ -101,6 +101,14 @@
         metrics.gauge(name, value::getAsLong);
     }
 
+    void gauge(String name, String labels, LongSupplier value) {
+        metrics.gauge(name, labels, value::getAsLong);
+    }
+
+    void removeGauges(String name) {
+        metrics.removeGauges(name);
+    }
+
     /** Sets the shares whose largest users are rendered. */
     void shares(FairShare rendered) {
         shares = rendered;
