--- a/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
@@ -337,7 +337,7 @@
                     harmToOthers,
                     ownCost,
                     away ? domains.leaveCost(e) : 0,
-                    weighed ? DomainPolicy.riskCost(requirements, search.waitedMs + firstEventMs, crowding) : 0,
+                    weighed ? DomainPolicy.riskCost(requirements, search.waitedMs + firstEventMs) : 0,
                     firstEventMs,
                     crowding,
                     hasFreeSlot,
--- a/src/main/java/org/jujuberouter/dispatch/DomainPolicy.java
+++ b/src/main/java/org/jujuberouter/dispatch/DomainPolicy.java
@@ -31,18 +31,15 @@
     private static final double MAX_HEADROOM_COST = 0.5;
 
     /** Fraction of the latency objective up to which a predicted first event has no risk of being late. */
-    private static final double SAFE_OBJECTIVE_FRACTION = 0.6;
-
-    /** Probability of being late for a call that is predicted at the end of its usable objective. */
-    private static final double RISK_AT_USABLE_END = 0.1;
-
-    private static final double USABLE_OBJECTIVE_FRACTION = 0.85;
+    private static final double SAFE_OBJECTIVE_FRACTION = 0.5;
 
     /**
-     * Cost of an engine most of whose slots are used, above that of a hop: two instances that place calls there at the same
-     * moment may fill it up.
+     * Probability of being late for a call that is predicted at the end of its usable objective. With 0, or with 0.1 from a
+     * fraction of 0.6 on, fewer calls were on time in the simulation of docs/design/failure-domains.md.
      */
-    private static final double CROWDED_ENGINE_COST = 0.05;
+    private static final double RISK_AT_USABLE_END = 0.3;
+
+    private static final double USABLE_OBJECTIVE_FRACTION = 0.85;
 
     /** Fraction of a plain endpoint's slots by which it must be less loaded to be worth a hop; smaller is nearly equal. */
     private static final double PLAIN_LOAD_MARGIN = 0.25;
@@ -136,12 +133,14 @@
         return roundTripMs[e.domain().index()];
     }
 
-    /** Returns the cost of a place that is on time by the prediction, but near its limits. */
-    static double riskCost(CallRequirements requirements, double firstEventMs, double crowding) {
+    /**
+     * Returns the cost of a place that is on time by the prediction, but near the objective. Used slots add nothing: leaving
+     * while home engines have slots put more short streams beside the long prompts of the other domains.
+     */
+    static double riskCost(CallRequirements requirements, double firstEventMs) {
         double used = firstEventMs / requirements.objectiveMs() - SAFE_OBJECTIVE_FRACTION;
         double risk = Math.clamp(used / (USABLE_OBJECTIVE_FRACTION - SAFE_OBJECTIVE_FRACTION), 0, 1);
-        double crowded = requirements.isShort() && crowding >= 1 ? CROWDED_ENGINE_COST : 0;
-        return risk * RISK_AT_USABLE_END * requirements.onTimeGain() + crowded;
+        return risk * RISK_AT_USABLE_END * requirements.onTimeGain();
     }
 
     /** Returns what is added to the load of a plain endpoint, as a fraction of its slots. */
--- a/src/test/java/org/jujuberouter/dispatch/DomainPlacementTest.java
+++ b/src/test/java/org/jujuberouter/dispatch/DomainPlacementTest.java
@@ -68,7 +68,7 @@
         for (int i = 0; i < demand.length; i++) {
             assertTrue(onTime[i][auto] >= onTime[i][DomainMode.ANY.ordinal()] - 0.01, table.toString());
             assertTrue(onTime[i][auto] >= onTime[i][DomainMode.HOME.ordinal()] + 0.03, table.toString());
-            assertTrue(left[i][auto] <= left[i][DomainMode.ANY.ordinal()] / 2, table.toString());
+            assertTrue(left[i][auto] <= left[i][DomainMode.ANY.ordinal()] / 4, table.toString());
         }
     }
 
