--- a/src/main/java/org/jujuberouter/peer/PeerMessage.java
+++ b/src/main/java/org/jujuberouter/peer/PeerMessage.java
@@ -396,7 +396,8 @@
      * @param ageMillis the age of the view of the configuration when the report was created
      * @param configuration the configuration version in that view
      * @param viewAgeMillis the age of the whole view when the report was created
-     * @param revision the revision of the store in the whole view, or 0 if its age is not known
+     * @param revision the revision of the store in the whole view, or 0 if its age is not known or the sender does not reach
+     *     the store
      */
     record ContactReport(long queryNanos, long ageMillis, long configuration, long viewAgeMillis, long revision)
             implements GatewayMessage {
--- a/src/test/java/org/jujuberouter/gateway/StoreCallSimulation.java
+++ b/src/test/java/org/jujuberouter/gateway/StoreCallSimulation.java
@@ -37,6 +37,9 @@
     private static final long RENEW_MS = 2_000;
     private static final int PAGES = 3;
 
+    /** Price of a read: stale pages at a tenth of a call, and the watch that adds the changes since. */
+    private static final long READ_TENTHS = PAGES + 10;
+
     final SplittableRandom random;
     final List<Instance> instances = new ArrayList<>();
     private final TreeMap<Long, List<Runnable>> script = new TreeMap<>();
@@ -343,8 +346,11 @@
         @Override
         public void read(Consumer<ControlReply> listener) {
             if (isServed()) {
-                bill("read", PAGES * 10);
-                deliver(PAGES * answerMs, listener, new ControlReply.Success(List.copyOf(current.values()), revision));
+                bill("read", READ_TENTHS);
+                deliver(
+                        (PAGES + 1) * answerMs,
+                        listener,
+                        new ControlReply.Success(List.copyOf(current.values()), revision));
             } else {
                 bill("read refused", 10);
                 deliver(answerMs, listener, new ControlReply.Failed("refused"));
