Order engines while an instance leads

Instances report their demand to the leader; calls that wait are counted in the queue at the time of the report.

--- a/src/main/java/org/jujuberouter/catalog/Catalog.java
+++ b/src/main/java/org/jujuberouter/catalog/Catalog.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -77,6 +78,11 @@
         return apiKeys;
     }
 
+    /** Returns the declarations of all services. */
+    public Collection<ServiceSpec> services() {
+        return Collections.unmodifiableCollection(services.values());
+    }
+
     /** Returns the declaration of the service. */
     public Optional<ServiceSpec> service(ServiceName name) {
         return Optional.ofNullable(services.get(name));
--- a/src/main/java/org/jujuberouter/dispatch/CallQueue.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallQueue.java
@@ -105,6 +105,15 @@
         waiting.remove(call);
     }
 
+    /** Returns the number of queued calls of a service. */
+    public int size(ServiceName service) {
+        int count = 0;
+        for (Entry<C> e : waiting.values()) {
+            count += e.requirements.service().equals(service) ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Returns the number of queued calls. */
     public int size() {
         return waiting.size();
--- a/src/main/java/org/jujuberouter/dispatch/EndpointRegistry.java
+++ b/src/main/java/org/jujuberouter/dispatch/EndpointRegistry.java
@@ -101,6 +101,16 @@
         }
     }
 
+    /** Returns the failure domains that are excluded from new calls. */
+    public Set<FailureDomain> evacuated() {
+        return Set.copyOf(evacuated);
+    }
+
+    /** Returns the registered endpoints of a service, of all groups. */
+    public List<TrackedEndpoint> all(ServiceName service) {
+        return List.copyOf(endpointsOf(service).values());
+    }
+
     public Optional<TrackedEndpoint> find(EndpointId id) {
         return Optional.ofNullable(endpoints.get(id));
     }
--- a/src/main/java/org/jujuberouter/dispatch/TrackedEndpoint.java
+++ b/src/main/java/org/jujuberouter/dispatch/TrackedEndpoint.java
@@ -91,6 +91,11 @@
         return failureRate;
     }
 
+    /** Returns whether the endpoint is in cold start. */
+    public boolean isCold(long now) {
+        return now < coldUntil;
+    }
+
     /** Returns whether the endpoint is in cold start and has reached its limit of calls per second. */
     boolean isColdLimitReached(double perSecond, long now) {
         if (now >= coldUntil || perSecond <= 0) {
--- a/src/main/java/org/jujuberouter/duty/DutyTask.java
+++ b/src/main/java/org/jujuberouter/duty/DutyTask.java
@@ -13,4 +13,7 @@
      * @param demands the latest report of each instance
      */
     void run(DutyTerm term, int listedInstances, List<InstanceDemand> demands);
+
+    /** Runs once after the end of a term. */
+    default void termEnded() {}
 }
--- a/src/main/java/org/jujuberouter/gateway/DutySync.java
+++ b/src/main/java/org/jujuberouter/gateway/DutySync.java
@@ -49,6 +49,7 @@
     private final List<DutyTask> tasks = new ArrayList<>();
     private Supplier<List<ServiceDemand>> demand = List::of;
     private long tasksRunAt;
+    private boolean tasksRun;
 
     private DutySync(
             Gateway gateway,
@@ -88,6 +89,9 @@
         metrics.gauge("usage_last_window", control::lastWindow);
         metrics.gauge("usage_windows_pending", control::pendingWindows);
         metrics.gauge("usage_windows_given_up", control::givenUpWindows);
+        if (duties.settings().autoscale()) {
+            EngineScaling.start(gateway, sync);
+        }
         sync.loop.scheduleWithFixedDelay(sync::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         return sync;
     }
@@ -110,8 +114,12 @@
         long now = gateway.ticker().millis();
         if (!tasks.isEmpty() && now - tasksRunAt >= TASK_INTERVAL_MS && control.mayAct()) {
             tasksRunAt = now;
+            tasksRun = true;
             DutyTerm term = control.term().orElseThrow();
             tasks.forEach(t -> t.run(term, control.listedInstances(), control.demands()));
+        } else if (tasksRun && control.term().isEmpty()) {
+            tasksRun = false;
+            tasks.forEach(DutyTask::termEnded);
         }
     }
 
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -173,7 +173,7 @@
         }
         double waitedMs = (gateway.ticker().nanos() - telemetry.arrivedNanos()) / 1e6;
         CustomerStanding standing = gateway.standing(requirements);
-        switch (gateway.scheduler().place(requirements, service, triedEndpoints, waitedMs, standing)) {
+        switch (gateway.place(requirements, service, triedEndpoints, waitedMs, standing)) {
             case PlacementDecision.Send send -> send(send);
             case PlacementDecision.Wait wait -> {
                 telemetry.waiting(wait, standing == CustomerStanding.DEFERRED, triedEndpoints.size());
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -34,12 +34,15 @@
 import org.jujuberouter.dispatch.DomainPolicy;
 import org.jujuberouter.dispatch.EndpointRegistry;
 import org.jujuberouter.dispatch.FairShare;
+import org.jujuberouter.dispatch.PlacementDecision;
 import org.jujuberouter.dispatch.RetryLimiter;
 import org.jujuberouter.dispatch.StopSchedule;
 import org.jujuberouter.dispatch.StoreFreshness;
 import org.jujuberouter.dispatch.TrackedEndpoint;
 import org.jujuberouter.dispatch.WorkClaim;
+import org.jujuberouter.duty.ServiceDemand;
 import org.jujuberouter.http.CallFailure;
+import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.RequestId;
@@ -47,6 +50,7 @@
 import org.jujuberouter.misc.RecentMaximum;
 import org.jujuberouter.misc.Ticker;
 import org.jujuberouter.peer.PeerMessage;
+import org.jujuberouter.scaling.DemandMeter;
 
 /** State of one instance and the calls that it serves; confined to its event loop. */
 final class Gateway implements StoreListener {
@@ -79,6 +83,7 @@
     private final StopSchedule stopSchedule;
     private final FairShare shares = FairShare.of(ticker);
     private final CallQueue<Exchange> waitQueue = CallQueue.sharedBy(shares, ticker);
+    private final DemandMeter demandMeter;
     private PeerLoadSync peerLoad;
     private CrashQuarantine crashes;
     private Optional<DutySync> duties = Optional.empty();
@@ -104,6 +109,7 @@
         long slackDelayMs = options.firstStart() ? 0 : options.bounds().retryWindowMs();
         this.fullSlackAt = ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(slackDelayMs);
         this.instanceCount = RecentMaximum.of(ticker, options.bounds().retryWindowMs(), 1);
+        this.demandMeter = DemandMeter.of(options.domain());
         this.stopSchedule = StopSchedule.of(ticker, options.bounds().stopMs());
         Ticker wallClock = () -> TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
         this.storeFreshness =
@@ -411,11 +417,34 @@
 
     /** Queues a call that has just arrived and tries to place the queued calls in order. */
     void enqueueAndPlace(Exchange exchange, CallRequirements requirements, long arrivedNanos) {
+        if (duties.isPresent()) {
+            catalog.flatMap(c -> c.service(requirements.service()))
+                    .ifPresent(service -> demandMeter.arrived(requirements, service));
+        }
         shares.recordArrival(requirements);
         waitQueue.add(exchange, requirements, arrivedNanos);
         placeWaitingCalls();
     }
 
+    /** Decides where a call is sent, and counts it as unmet demand if it is refused. */
+    PlacementDecision place(
+            CallRequirements requirements,
+            ServiceSpec service,
+            Set<EndpointId> tried,
+            double waitedMs,
+            CustomerStanding standing) {
+        PlacementDecision decision = scheduler.place(requirements, service, tried, waitedMs, standing);
+        if (decision instanceof PlacementDecision.Refuse) {
+            demandMeter.refused(service.name());
+        }
+        return decision;
+    }
+
+    /** Returns the demand for the services that are scaled, as this instance has seen it. */
+    List<ServiceDemand> demand() {
+        return demandMeter.report(waitQueue::size);
+    }
+
     /** Queues a call that could not be placed. */
     void enqueue(Exchange exchange, CallRequirements requirements, long arrivedNanos) {
         waitQueue.add(exchange, requirements, arrivedNanos);
--- a/src/main/java/org/jujuberouter/scaling/DemandMeter.java
+++ b/src/main/java/org/jujuberouter/scaling/DemandMeter.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToIntFunction;
 import org.jujuberouter.catalog.ServiceSpec;
 import org.jujuberouter.dispatch.CallRequirements;
 import org.jujuberouter.duty.ServiceDemand;
@@ -22,7 +23,6 @@
     private static final class Totals {
         private double prefillMs;
         private double slotMs;
-        private int waiting;
         private long refused;
     }
 
@@ -45,23 +45,6 @@
         sums.slotMs += call.expectedMs(service);
     }
 
-    /** Records that a call of the service waits for an endpoint. */
-    public void waitStarted(ServiceName service) {
-        Totals sums = totals.get(service);
-        if (sums != null) {
-            sums.waiting++;
-        }
-    }
-
-    /** Records that a waiting call was sent, was refused or has left. */
-    public void waitEnded(ServiceName service) {
-        Totals sums = totals.get(service);
-        // Calls that waited when the service was first scaled were not counted.
-        if (sums != null && sums.waiting > 0) {
-            sums.waiting--;
-        }
-    }
-
     /** Records that a call was refused because no engine had capacity for it in time. */
     public void refused(ServiceName service) {
         Totals sums = totals.get(service);
@@ -70,11 +53,15 @@
         }
     }
 
-    /** Returns the demand since the start, for each service that had calls. */
-    public List<ServiceDemand> report() {
+    /**
+     * Returns the demand since the start, for each service that had calls.
+     *
+     * @param waiting returns the number of calls of a service that wait for an endpoint now
+     */
+    public List<ServiceDemand> report(ToIntFunction<ServiceName> waiting) {
         List<ServiceDemand> demands = new ArrayList<>(totals.size());
-        totals.forEach((service, sums) -> demands.add(
-                new ServiceDemand(service, domain, sums.prefillMs, sums.slotMs, sums.waiting, sums.refused)));
+        totals.forEach((service, sums) -> demands.add(new ServiceDemand(
+                service, domain, sums.prefillMs, sums.slotMs, waiting.applyAsInt(service), sums.refused)));
         return demands;
     }
 }
