--- a/src/test/java/org/jujuberouter/gateway/DutySyncTest.java
+++ b/src/test/java/org/jujuberouter/gateway/DutySyncTest.java
@@ -89,6 +89,10 @@
         assertEquals(expected, total());
     }
 
+    private long callsOf(String holder) {
+        return cloud.calls().stream().filter(c -> c.holder().equals(holder)).count();
+    }
+
     private String leader() {
         return accepted().toList().getLast().holder();
     }
@@ -127,12 +131,15 @@
         for (InstanceFixture.Instance other : instances.values()) {
             send(other, "/read/x", "during-the-stop-" + other.base().getPort());
         }
+        Thread.sleep(500);
+        long callsAtStop = callsOf(former);
         InstanceFixture.await(() -> !leader().equals(former));
         long tookMs = (System.nanoTime() - begun) / 1_000_000;
         assertTrue(tookMs < 5_000, "the first report of the next leader took " + tookMs + " ms");
         awaitTotal();
         assertTrue(accepted().toList().getLast().token() > token);
         stop.join();
+        assertEquals(callsAtStop, callsOf(former), "the leader went on while it stopped");
         instances.values().forEach(i -> i.daemon().close());
     }
 
