--- a/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
@@ -306,7 +306,9 @@
         for (int i = 0; i < engines.size(); i++) {
             TrackedEndpoint e = engines.get(i);
             EndpointLoad load = e.load();
-            if (load.memoryTokens() + split.minTokens() > usableTokens
+            boolean hasFreeSlot = load.slotsUsed() < e.registration().slots();
+            if (!hasFreeSlot && split.parts() == 1
+                    || load.memoryTokens() + split.minTokens() > usableTokens
                     || load.helperParts() >= e.registration().slots()) {
                 continue;
             }
@@ -326,7 +328,6 @@
             double ownCost = search.waitedMs + firstEventMs > requirements.objectiveMs() * USABLE_OBJECTIVE_FRACTION
                     ? requirements.onTimeGain()
                     : 0;
-            boolean hasFreeSlot = load.slotsUsed() < e.registration().slots();
             int position = shortPrompt ? i : engines.size() - i;
             // Less crowded engines go first, so that calls placed at the same moment do not fill up a single engine.
             double crowding = shortPrompt
