--- a/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
@@ -185,7 +185,8 @@
             double waitedMs,
             long now) {
         List<TrackedEndpoint> candidates = eligible.candidates();
-        PromptSearch search = new PromptSearch(requirements, engine, candidates, waitedMs, now);
+        PromptSearch search =
+                new PromptSearch(requirements, engine, candidates, countFree(candidates, now), waitedMs, now);
         PromptCandidate atHome = null;
         List<TrackedEndpoint> home = domains.prefersHome() ? ofHome(candidates) : List.of();
         boolean weighed = domains.prefersHome() && home.size() < candidates.size();
@@ -235,11 +236,13 @@
      * A search for a place of a prompt.
      *
      * @param candidates all engines that may be used, also outside the domain
+     * @param freeEngines number of candidates that count as free for short prompts
      */
     private record PromptSearch(
             CallRequirements requirements,
             EngineCostModel engine,
             List<TrackedEndpoint> candidates,
+            int freeEngines,
             double waitedMs,
             long now) {}
 
@@ -348,8 +351,7 @@
         PromptCandidate chosen = PromptCandidate.choose(requirements, ranked, split, usableTokens, spreadWidth);
         return chosen == null || prefillMs <= MAX_FREE_PREFILL_MS
                 ? chosen
-                : chosen.withMoreHarm(
-                        missingFreeEngines(search.candidates, chosen.engines(), now) * MISSING_FREE_ENGINE_COST);
+                : chosen.withMoreHarm(missingFreeEngines(search, chosen.engines()) * MISSING_FREE_ENGINE_COST);
     }
 
     /** Returns whether an engine has room for a burst of short prompts. */
@@ -359,11 +361,19 @@
     }
 
     /** Returns the number of engines that would be missing from the headroom for short prompts. */
-    private static double missingFreeEngines(List<TrackedEndpoint> candidates, List<TrackedEndpoint> chosen, long now) {
-        long free = candidates.stream()
-                .filter(e -> !chosen.contains(e) && e.load().prefillRemainingMs(now) <= MAX_FREE_PREFILL_MS)
-                .count();
-        return Math.max(0, Math.ceil(candidates.size() * FREE_ENGINE_FRACTION) - free);
+    private static double missingFreeEngines(PromptSearch search, List<TrackedEndpoint> chosen) {
+        int free = search.freeEngines - countFree(chosen, search.now);
+        return Math.max(0, Math.ceil(search.candidates.size() * FREE_ENGINE_FRACTION) - free);
+    }
+
+    private static int countFree(List<TrackedEndpoint> engines, long now) {
+        int free = 0;
+        for (TrackedEndpoint e : engines) {
+            if (e.load().prefillRemainingMs(now) <= MAX_FREE_PREFILL_MS) {
+                free++;
+            }
+        }
+        return free;
     }
 
     /** Returns the number of equally good engines over which calls are spread. */
