--- a/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
@@ -185,8 +185,9 @@
             double waitedMs,
             long now) {
         List<TrackedEndpoint> candidates = eligible.candidates();
-        PromptSearch search =
-                new PromptSearch(requirements, engine, candidates, countFree(candidates, now), waitedMs, now);
+        // Only parts of a longer prefill are charged for the headroom.
+        int free = engine.prefillMs(requirements.promptTokens()) > MAX_FREE_PREFILL_MS ? countFree(candidates, now) : 0;
+        PromptSearch search = new PromptSearch(requirements, engine, candidates, free, waitedMs, now);
         PromptCandidate atHome = null;
         List<TrackedEndpoint> home = domains.prefersHome() ? ofHome(candidates) : List.of();
         boolean weighed = domains.prefersHome() && home.size() < candidates.size();
