--- a/src/main/java/org/jujuberouter/dispatch/CallQueue.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallQueue.java
@@ -125,9 +125,25 @@
      * @param tryPlace tries to place a call; returns whether the call can leave the queue
      */
     public void dispatch(Predicate<C> tryPlace) {
-        List<Entry<C>> behind = new ArrayList<>();
+        List<Entry<C>> order = inOrder();
+        int onTime = 0;
+        while (onTime < order.size() && !order.get(onTime).isLate()) {
+            onTime++;
+        }
         Map<ServiceName, Failures> failures = new HashMap<>();
-        for (Entry<C> e : inOrder()) {
+        Map<ServiceName, Failures> failuresBehind = new HashMap<>();
+        placeByShare(order.subList(0, onTime), failures, failuresBehind, tryPlace);
+        placeByShare(order.subList(onTime, order.size()), failures, failuresBehind, tryPlace);
+    }
+
+    /** Places the calls of customers above their share behind the others, in the given order otherwise. */
+    private void placeByShare(
+            List<Entry<C>> order,
+            Map<ServiceName, Failures> failures,
+            Map<ServiceName, Failures> failuresBehind,
+            Predicate<C> tryPlace) {
+        List<Entry<C>> behind = new ArrayList<>();
+        for (Entry<C> e : order) {
             // Tested in turn, because a customer can exceed its share through a call placed in the same round.
             if (shares.isAboveShare(e.requirements)) {
                 behind.add(e);
@@ -135,13 +151,12 @@
                 place(e, failures, tryPlace);
             }
         }
-        failures.clear();
         for (Entry<C> e : behind) {
             if (!e.deferred && shares.standing(e.requirements) == CustomerStanding.DEFERRED) {
                 e.deferred = true;
                 shares.countDeferredCall();
             }
-            place(e, failures, tryPlace);
+            place(e, failuresBehind, tryPlace);
         }
     }
 
