--- a/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
@@ -33,6 +33,21 @@
         DomainMode domainMode,
         ServingBounds bounds,
         Optional<DutyOptions> duties) {
+    /** Creates options of an instance that decides by itself which calls leave its failure domain. */
+    public GatewayOptions(
+            InstanceId instance,
+            FailureDomain domain,
+            InetSocketAddress callers,
+            InetSocketAddress readiness,
+            InetSocketAddress peers,
+            InetSocketAddress store,
+            Optional<InetSocketAddress> metrics,
+            boolean firstStart,
+            ServingBounds bounds,
+            Optional<DutyOptions> duties) {
+        this(instance, domain, callers, readiness, peers, store, metrics, firstStart, DomainMode.AUTO, bounds, duties);
+    }
+
     /** Returns a copy of these options that serves metrics at the given port of the callers' address. */
     public GatewayOptions withMetricsPort(int port) {
         InetSocketAddress address = new InetSocketAddress(callers.getAddress(), port);
--- a/src/main/java/org/jujuberouter/gateway/ScalingTelemetry.java
+++ b/src/main/java/org/jujuberouter/gateway/ScalingTelemetry.java
@@ -50,7 +50,7 @@
     @Override
     public void ordered(ScaleOrder order, int registered, String reason, double load) {
         log.stateChanged(
-                "engines ordered",
+                "engine count changed",
                 Map.entry("service", order.service()),
                 Map.entry("domain", order.domain()),
                 Map.entry("count", order.count()),
--- a/src/main/java/org/jujuberouter/platform/NodeFile.java
+++ b/src/main/java/org/jujuberouter/platform/NodeFile.java
@@ -8,7 +8,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import org.jujuberouter.dispatch.DomainMode;
 import org.jujuberouter.duty.DutySettings;
 import org.jujuberouter.gateway.DutyOptions;
 import org.jujuberouter.gateway.GatewayOptions;
@@ -49,7 +48,6 @@
                     Addresses.parse(KvValueCodec.text(node.path("Platform"), "Address")),
                     Optional.empty(),
                     node.path("Bootstrap").asBoolean(),
-                    DomainMode.AUTO,
                     bounds(node.path("Bounds")),
                     duties(node.path("Cloud"), node.path("Bounds")));
         } catch (IllegalArgumentException e) {
