--- a/src/main/java/org/jujuberouter/cli/ServeCommand.java
+++ b/src/main/java/org/jujuberouter/cli/ServeCommand.java
@@ -30,6 +30,9 @@
     /** Environment variable that holds the mode of placement across failure domains: auto, home or any. */
     private static final String DOMAINS_VARIABLE = "JUJUBEROUTER_DOMAINS";
 
+    /** Environment variable that turns fair sharing among customers on or off. */
+    private static final String FAIR_SHARING_VARIABLE = "JUJUBEROUTER_FAIR_SHARING";
+
     private static final String METRICS_PORT_VARIABLE = "JUJUBEROUTER_METRICS_PORT";
     private static final int MAX_PORT = 65_535;
     private static final System.Logger LOG = System.getLogger(ServeCommand.class.getName());
@@ -83,6 +86,7 @@
                 Map.entry("metrics", options.metrics().map(Object::toString).orElse("none")),
                 Map.entry("store", options.store()),
                 Map.entry("domains", options.domainMode()),
+                Map.entry("fair_sharing", options.fairSharing()),
                 Map.entry("bounds", options.bounds()));
         // Signals may arrive as soon as callers can connect, so the handlers are installed first.
         SighupHandler.setAction(() -> rereadSettings(file, options));
@@ -111,7 +115,11 @@
     private GatewayOptions applyEnvironment(GatewayOptions nodeOptions) throws IOException {
         try {
             DomainMode mode = DomainMode.of(System.getenv().getOrDefault(DOMAINS_VARIABLE, "auto"));
-            return applyMetricsPort(nodeOptions.withDomainMode(mode));
+            String sharing = System.getenv().getOrDefault(FAIR_SHARING_VARIABLE, "off");
+            if (!sharing.equals("on") && !sharing.equals("off")) {
+                throw new IOException(FAIR_SHARING_VARIABLE + ": \"" + sharing + "\" is neither on nor off");
+            }
+            return applyMetricsPort(nodeOptions.withPlacement(mode, sharing.equals("on")));
         } catch (IllegalArgumentException e) {
             throw new IOException(DOMAINS_VARIABLE + ": " + e.getMessage(), e);
         }
--- a/src/main/java/org/jujuberouter/dispatch/FairShare.java
+++ b/src/main/java/org/jujuberouter/dispatch/FairShare.java
@@ -64,6 +64,7 @@
     private static final int MAX_PASSES = 16;
 
     private final Ticker ticker;
+    private final boolean enforced;
     private final Map<ServiceName, Contest> contests = new HashMap<>();
     private long originNanos;
     private long roundNanos;
@@ -112,15 +113,21 @@
      */
     public record Usage(Optional<CustomerId> customer, long percentOfEqualShare) {}
 
-    private FairShare(Ticker ticker) {
+    private FairShare(Ticker ticker, boolean enforced) {
         this.ticker = ticker;
+        this.enforced = enforced;
         this.originNanos = ticker.nanos();
         this.roundNanos = originNanos;
     }
 
     /** Returns shares without any recorded work. */
     public static FairShare of(Ticker ticker) {
-        return new FairShare(ticker);
+        return new FairShare(ticker, true);
+    }
+
+    /** Returns shares that are recorded, but have no effect on the order of calls. */
+    public static FairShare recordedOnly(Ticker ticker) {
+        return new FairShare(ticker, false);
     }
 
     /**
@@ -164,6 +171,9 @@
 
     /** Records that a call of the service waits because no endpoint had room for it. */
     void recordScarcity(ServiceName service) {
+        if (!enforced) {
+            return;
+        }
         Contest contest = contests.computeIfAbsent(service, _ -> new Contest());
         if (!contest.scarce) {
             contest.scarce = true;
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -81,8 +81,8 @@
     private final Set<CallerConnection> connections = new HashSet<>();
     private final Set<Exchange> running = new HashSet<>();
     private final StopSchedule stopSchedule;
-    private final FairShare shares = FairShare.of(ticker);
-    private final CallQueue<Exchange> waitQueue = CallQueue.sharedBy(shares, ticker);
+    private final FairShare shares;
+    private final CallQueue<Exchange> waitQueue;
     private final DemandMeter demandMeter;
     private PeerLoadSync peerLoad;
     private CrashQuarantine crashes;
@@ -109,6 +109,8 @@
         long slackDelayMs = options.firstStart() ? 0 : options.bounds().retryWindowMs();
         this.fullSlackAt = ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(slackDelayMs);
         this.instanceCount = RecentMaximum.of(ticker, options.bounds().retryWindowMs(), 1);
+        this.shares = options.fairSharing() ? FairShare.of(ticker) : FairShare.recordedOnly(ticker);
+        this.waitQueue = CallQueue.sharedBy(shares, ticker);
         this.demandMeter = DemandMeter.of(options.domain());
         this.stopSchedule = StopSchedule.of(ticker, options.bounds().stopMs());
         Ticker wallClock = () -> TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
--- a/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
@@ -18,6 +18,7 @@
  * @param metrics listen address for metrics; empty if they are not served
  * @param firstStart whether the whole system starts for the first time, so that no instance has run before
  * @param domainMode how placement takes failure domains into account
+ * @param fairSharing whether calls of customers above their fair share wait behind those of others
  * @param bounds limits set for the deployment
  * @param duties calls that only one instance at a time may make; empty if there are none
  */
@@ -31,6 +32,7 @@
         Optional<InetSocketAddress> metrics,
         boolean firstStart,
         DomainMode domainMode,
+        boolean fairSharing,
         ServingBounds bounds,
         Optional<DutyOptions> duties) {
     /** Creates options of an instance that decides by itself which calls leave its failure domain. */
@@ -45,7 +47,19 @@
             boolean firstStart,
             ServingBounds bounds,
             Optional<DutyOptions> duties) {
-        this(instance, domain, callers, readiness, peers, store, metrics, firstStart, DomainMode.AUTO, bounds, duties);
+        this(
+                instance,
+                domain,
+                callers,
+                readiness,
+                peers,
+                store,
+                metrics,
+                firstStart,
+                DomainMode.AUTO,
+                false,
+                bounds,
+                duties);
     }
 
     /** Returns a copy of these options that serves metrics at the given port of the callers' address. */
@@ -61,13 +75,14 @@
                 Optional.of(address),
                 firstStart,
                 domainMode,
+                fairSharing,
                 bounds,
                 duties);
     }
 
-    /** Returns a copy of these options with the given mode of placement across domains. */
-    public GatewayOptions withDomainMode(DomainMode mode) {
+    /** Returns a copy of these options with the given mode of placement across domains, and with fair sharing or not. */
+    public GatewayOptions withPlacement(DomainMode mode, boolean sharing) {
         return new GatewayOptions(
-                instance, domain, callers, readiness, peers, store, metrics, firstStart, mode, bounds, duties);
+                instance, domain, callers, readiness, peers, store, metrics, firstStart, mode, sharing, bounds, duties);
     }
 }
--- a/src/test/java/org/jujuberouter/dispatch/FairShareTest.java
+++ b/src/test/java/org/jujuberouter/dispatch/FairShareTest.java
@@ -92,6 +92,22 @@
         assertEquals(1, shares.deferredCalls());
     }
 
+    /** Deployments that do not turn fair sharing on are served by due time alone. */
+    @Test
+    void recordsSharesWithoutReorderingCallsWhenItIsNotEnforced() {
+        FairShare recorded = FairShare.recordedOnly(ticker);
+        CallQueue<String> plain = CallQueue.sharedBy(recorded, ticker);
+        recorded.charge(SERVICE, call("earlier", "heavy", 9, 100, 300).claim(), 100);
+        plain.add("light", call("light", "light", 0, 100, 300), 0);
+        plain.add("heavy", call("heavy", "heavy", 9, 100, 200), 0);
+        plain.dispatch(_ -> false);
+        List<String> tried = new ArrayList<>();
+        plain.dispatch(c -> !tried.add(c));
+        assertEquals(List.of("heavy", "light"), tried);
+        assertEquals(0, recorded.deferredCalls());
+        assertEquals(1, recorded.largest(5).size());
+    }
+
     /** Waiting calls of one service make calls of another one wait. */
     @Test
     void triesCallsOfAServiceWithRoomBehindManyOfOneWithout() {
