Ignore failure domains in placement by default

The mode auto stays available. Groups that are slices through all domains and the avoidance of domains that cannot be reached are in force in every mode.

--- a/src/main/java/org/jujuberouter/cli/ServeCommand.java
+++ b/src/main/java/org/jujuberouter/cli/ServeCommand.java
@@ -114,7 +114,7 @@
 
     private GatewayOptions applyEnvironment(GatewayOptions nodeOptions) throws IOException {
         try {
-            DomainMode mode = DomainMode.of(System.getenv().getOrDefault(DOMAINS_VARIABLE, "auto"));
+            DomainMode mode = DomainMode.of(System.getenv().getOrDefault(DOMAINS_VARIABLE, "any"));
             String sharing = System.getenv().getOrDefault(FAIR_SHARING_VARIABLE, "off");
             if (!sharing.equals("on") && !sharing.equals("off")) {
                 throw new IOException(FAIR_SHARING_VARIABLE + ": \"" + sharing + "\" is neither on nor off");
--- a/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
@@ -35,7 +35,7 @@
         boolean fairSharing,
         ServingBounds bounds,
         Optional<DutyOptions> duties) {
-    /** Creates options of an instance that decides by itself which calls leave its failure domain. */
+    /** Creates options of an instance that places calls without regard to failure domains and shares of customers. */
     public GatewayOptions(
             InstanceId instance,
             FailureDomain domain,
@@ -56,7 +56,7 @@
                 store,
                 metrics,
                 firstStart,
-                DomainMode.AUTO,
+                DomainMode.ANY,
                 false,
                 bounds,
                 duties);
