--- a/src/main/java/org/jujuberouter/dispatch/DomainPolicy.java
+++ b/src/main/java/org/jujuberouter/dispatch/DomainPolicy.java
@@ -33,10 +33,7 @@
     /** Fraction of the latency objective up to which a predicted first event has no risk of being late. */
     private static final double SAFE_OBJECTIVE_FRACTION = 0.5;
 
-    /**
-     * Probability of being late for a call that is predicted at the end of its usable objective. With 0, or with 0.1 from a
-     * fraction of 0.6 on, fewer calls were on time in the simulation of docs/design/failure-domains.md.
-     */
+    /** Probability of being late for a call that is predicted at the end of its usable objective; predictions scatter. */
     private static final double RISK_AT_USABLE_END = 0.3;
 
     private static final double USABLE_OBJECTIVE_FRACTION = 0.85;
--- a/src/main/java/org/jujuberouter/gateway/EngineScaling.java
+++ b/src/main/java/org/jujuberouter/gateway/EngineScaling.java
@@ -16,8 +16,8 @@
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.misc.Ticker;
+import org.jujuberouter.scaling.DemandReport;
 import org.jujuberouter.scaling.EngineCount;
-import org.jujuberouter.scaling.InstanceReport;
 import org.jujuberouter.scaling.ScaleController;
 import org.jujuberouter.scaling.ScaleOrder;
 import org.jujuberouter.scaling.ScalingInputs;
@@ -55,9 +55,9 @@
             current = Optional.of(term);
             controller.leaderChanged(now);
         }
-        List<InstanceReport> reports = new ArrayList<>(demands.size());
+        List<DemandReport> reports = new ArrayList<>(demands.size());
         for (InstanceDemand d : demands) {
-            reports.add(new InstanceReport(d.source().instance(), now - d.ageMs(), d.demand()));
+            reports.add(new DemandReport(d.source().instance(), now - d.ageMs(), d.demand()));
         }
         ScalingInputs inputs = new ScalingInputs(
                 catalog.get().services(), countEngines(), gateway.registry().evacuated(), listedInstances, reports);
--- a/src/main/java/org/jujuberouter/scaling/InstanceReport.java
+++ b/src/main/java/org/jujuberouter/scaling/DemandReport.java
@@ -11,4 +11,4 @@
  * @param receivedAtMs time at which the leader received it, by the leader's ticker, in milliseconds
  * @param demands cumulative demand for each service
  */
-public record InstanceReport(InstanceId instance, long receivedAtMs, List<ServiceDemand> demands) {}
+public record DemandReport(InstanceId instance, long receivedAtMs, List<ServiceDemand> demands) {}
--- a/src/main/java/org/jujuberouter/scaling/ScaleController.java
+++ b/src/main/java/org/jujuberouter/scaling/ScaleController.java
@@ -74,7 +74,7 @@
             takenOutAtMs = nowMs;
         }
         int fresh = 0;
-        for (InstanceReport report : inputs.reports()) {
+        for (DemandReport report : inputs.reports()) {
             fresh += nowMs - report.receivedAtMs() <= STALE_MS ? 1 : 0;
         }
         boolean complete = inputs.instances() - fresh <= inputs.instances() * MAX_STALE_FRACTION;
@@ -104,11 +104,11 @@
         return decided;
     }
 
-    private void addReports(DemandRates rates, ServiceSpec service, List<InstanceReport> reports) {
+    private void addReports(DemandRates rates, ServiceSpec service, List<DemandReport> reports) {
         int slots = Math.max(1, service.engine().orElseThrow().slots());
         // A sample from before the window is needed to measure over all of it.
         long keptMs = policy.meanWindowMs() + STALE_MS;
-        for (InstanceReport report : reports) {
+        for (DemandReport report : reports) {
             for (ServiceDemand demand : report.demands()) {
                 if (demand.service().equals(service.name())) {
                     rates.add(report.instance(), demand, report.receivedAtMs(), slots, keptMs);
--- a/src/main/java/org/jujuberouter/scaling/ScalingInputs.java
+++ b/src/main/java/org/jujuberouter/scaling/ScalingInputs.java
@@ -23,4 +23,4 @@
         Map<ServiceName, Map<FailureDomain, EngineCount>> engines,
         Set<FailureDomain> takenOut,
         int instances,
-        List<InstanceReport> reports) {}
+        List<DemandReport> reports) {}
--- a/src/test/java/org/jujuberouter/scaling/ScalingSite.java
+++ b/src/test/java/org/jujuberouter/scaling/ScalingSite.java
@@ -53,7 +53,7 @@
     private final Random random;
     private final Map<FailureDomain, List<Long>> registeredAt = new TreeMap<>();
     private final double[] workMs = new double[INSTANCES];
-    private final InstanceReport[] reports = new InstanceReport[INSTANCES];
+    private final DemandReport[] reports = new DemandReport[INSTANCES];
     private double backlogMs;
     private long queuedSinceMs;
 
@@ -111,18 +111,18 @@
         longestWaitMs = Math.max(longestWaitMs, backlogMs / Math.max(1, usable));
     }
 
-    private InstanceReport report(int i) {
+    private DemandReport report(int i) {
         int waiting = (int) (backlogMs / 100 / INSTANCES);
         double half = workMs[i] / 2;
         ServiceDemand demand = new ServiceDemand(SERVICE, DOMAINS.get(i % 3), half, half * ENGINE.slots(), waiting, 0);
-        return new InstanceReport(InstanceId.of("i" + i), nowMs, List.of(demand));
+        return new DemandReport(InstanceId.of("i" + i), nowMs, List.of(demand));
     }
 
     ScalingInputs inputs() {
         Map<FailureDomain, EngineCount> counts = new TreeMap<>();
         DOMAINS.forEach(d -> counts.put(d, count(d)));
-        List<InstanceReport> known = new ArrayList<>();
-        for (InstanceReport report : reports) {
+        List<DemandReport> known = new ArrayList<>();
+        for (DemandReport report : reports) {
             if (report != null) {
                 known.add(report);
             }
