Let the stand-in of an engine reject requests without an id

GatewayTest.countsTheWorkOfAPeer... and GracefulStopTest.answersTheCalls... failed once each with a NullPointerException, both while the tests of a second checkout ran on random ports of the same machine: a stand-in had recorded a request without an attempt id. Calls of an instance always have one (a caller's request without it is rejected), so it came from elsewhere, such as a readiness probe of the other run. The platform's engines answer such a request with 400, as not executed; the stand-in now does the same.

--- a/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
+++ b/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
@@ -241,6 +241,12 @@
             reply(exchange, 200, report());
             return;
         }
+        if (attempt == null) {
+            // Engines reject a request without an id; it may come from a client that was meant for another process.
+            responseHeaders.set("X-Jujuberouter-Not-Executed", "1");
+            reply(exchange, 400, "");
+            return;
+        }
         if (behaviour == Behaviour.REFUSE) {
             responseHeaders.set("X-Jujuberouter-Not-Executed", "1");
             reply(exchange, 503, "");
