--- a/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
+++ b/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
@@ -241,15 +241,10 @@
             reply(exchange, 200, report());
             return;
         }
-        if (attempt == null) {
-            // Engines reject a request without an id; it may come from a client that was meant for another process.
+        // A request without an id may come from a client that was meant for another process.
+        if (attempt == null || behaviour == Behaviour.REFUSE) {
             responseHeaders.set("X-Jujuberouter-Not-Executed", "1");
-            reply(exchange, 400, "");
-            return;
-        }
-        if (behaviour == Behaviour.REFUSE) {
-            responseHeaders.set("X-Jujuberouter-Not-Executed", "1");
-            reply(exchange, 503, "");
+            reply(exchange, attempt == null ? 400 : 503, "");
             return;
         }
         runs.add(attempt);
