Build the transactions of the store in one place

The registration, keys that are written once and the keys of the duties each built the same document and had its time-out. KvTransaction builds it for all of them; the documents on the wire are as before.

--- a/src/main/java/org/jujuberouter/platform/KvControlStore.java
+++ b/src/main/java/org/jujuberouter/platform/KvControlStore.java
@@ -1,14 +1,12 @@
 package org.jujuberouter.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Base64;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -189,18 +187,12 @@
     }
 
     private void writeRegistration(InstanceId instance, byte[] registration, Consumer<String> listener) {
-        ObjectNode transaction = Json.MAPPER.createObjectNode();
-        transaction.putArray("Expected");
-        transaction.putArray("Delete");
-        ArrayNode puts = transaction.putArray("Puts");
-        puts.addObject()
-                .put("Key", StoreKeys.INSTANCES + instance.value())
-                .put("Value", Base64.getEncoder().encodeToString(registration))
-                .put("Lease", lease);
-        client.call("POST", "/v1/kv-txn", bytes(transaction), CALL_TIMEOUT_MS, reply -> {
-            boolean written = reply instanceof JsonReply.Response r && r.status() == 200;
-            listener.accept(written ? null : failed("announce", reply).reason());
-        });
+        KvTransaction.create()
+                .put(StoreKeys.INSTANCES + instance.value(), registration, lease)
+                .send(client, reply -> {
+                    boolean written = reply instanceof JsonReply.Response r && r.status() == 200;
+                    listener.accept(written ? null : failed("announce", reply).reason());
+                });
     }
 
     @Override
@@ -218,19 +210,15 @@
     /** Writes a key under a lease of its own unless it exists. */
     private void writeOnce(String key, byte[] value, long leaseMs, Consumer<String> listener) {
         grantLease(leaseMs, listener, granted -> {
-            ObjectNode transaction = Json.MAPPER.createObjectNode();
-            transaction.putArray("Expected").addObject().put("Key", key).put("Rev", 0);
-            transaction.putArray("Delete");
-            transaction
-                    .putArray("Puts")
-                    .addObject()
-                    .put("Key", key)
-                    .put("Value", Base64.getEncoder().encodeToString(value))
-                    .put("Lease", granted);
-            client.call("POST", "/v1/kv-txn", bytes(transaction), CALL_TIMEOUT_MS, reply -> {
-                boolean exists = reply instanceof JsonReply.Response r && (r.status() == 200 || r.status() == 412);
-                listener.accept(exists ? null : failed("write of " + key, reply).reason());
-            });
+            KvTransaction.create()
+                    .expect(key, KvTransaction.ABSENT)
+                    .put(key, value, granted)
+                    .send(client, reply -> {
+                        boolean exists = reply instanceof JsonReply.Response r
+                                && (r.status() == 200 || r.status() == KvTransaction.CONFLICT);
+                        listener.accept(
+                                exists ? null : failed("write of " + key, reply).reason());
+                    });
         });
     }
 
