Read the settings of optional features in one place

The setting for engine orders was read inside the gateway, the other two by the serve command, and GatewayOptions had a second constructor of ten parameters for their defaults. OptionalFeatures holds all three. The demand of each call is summed up only where the leader orders engines; before, every instance with duties did so for nothing. A value other than on or off of JUJUBEROUTER_AUTOSCALING is now an error, as it is for fair sharing.

--- a/src/main/java/org/jujuberouter/cli/ServeCommand.java
+++ b/src/main/java/org/jujuberouter/cli/ServeCommand.java
@@ -9,6 +9,7 @@
 import org.jujuberouter.dispatch.DomainMode;
 import org.jujuberouter.gateway.GatewayDaemon;
 import org.jujuberouter.gateway.GatewayOptions;
+import org.jujuberouter.gateway.OptionalFeatures;
 import org.jujuberouter.platform.HttpPlatformAdapter;
 import org.jujuberouter.platform.NodeFile;
 import org.jujuberouter.telemetry.AsyncLogHandler;
@@ -33,6 +34,9 @@
     /** Environment variable that turns fair sharing among customers on or off. */
     private static final String FAIR_SHARING_VARIABLE = "JUJUBEROUTER_FAIR_SHARING";
 
+    /** Environment variable that lets the leader order engines or not. */
+    private static final String AUTOSCALING_VARIABLE = "JUJUBEROUTER_AUTOSCALING";
+
     private static final String METRICS_PORT_VARIABLE = "JUJUBEROUTER_METRICS_PORT";
     private static final int MAX_PORT = 65_535;
     private static final System.Logger LOG = System.getLogger(ServeCommand.class.getName());
@@ -85,8 +89,9 @@
                 Map.entry("callers", options.callers()),
                 Map.entry("metrics", options.metrics().map(Object::toString).orElse("none")),
                 Map.entry("store", options.store()),
-                Map.entry("domains", options.domainMode()),
-                Map.entry("fair_sharing", options.fairSharing()),
+                Map.entry("domains", options.features().domainMode()),
+                Map.entry("fair_sharing", options.features().fairSharing()),
+                Map.entry("autoscaling", options.features().autoscaling()),
                 Map.entry("bounds", options.bounds()));
         // Signals may arrive as soon as callers can connect, so the handlers are installed first.
         SighupHandler.setAction(() -> rereadSettings(file, options));
@@ -115,16 +120,22 @@
     private GatewayOptions applyEnvironment(GatewayOptions nodeOptions) throws IOException {
         try {
             DomainMode mode = DomainMode.of(System.getenv().getOrDefault(DOMAINS_VARIABLE, "any"));
-            String sharing = System.getenv().getOrDefault(FAIR_SHARING_VARIABLE, "off");
-            if (!sharing.equals("on") && !sharing.equals("off")) {
-                throw new IOException(FAIR_SHARING_VARIABLE + ": \"" + sharing + "\" is neither on nor off");
-            }
-            return applyMetricsPort(nodeOptions.withPlacement(mode, sharing.equals("on")));
+            OptionalFeatures features =
+                    new OptionalFeatures(mode, isOn(FAIR_SHARING_VARIABLE), isOn(AUTOSCALING_VARIABLE));
+            return applyMetricsPort(nodeOptions.withFeatures(features));
         } catch (IllegalArgumentException e) {
             throw new IOException(DOMAINS_VARIABLE + ": " + e.getMessage(), e);
         }
     }
 
+    private static boolean isOn(String variable) throws IOException {
+        String value = System.getenv().getOrDefault(variable, "off");
+        if (!value.equals("on") && !value.equals("off")) {
+            throw new IOException(variable + ": \"" + value + "\" is neither on nor off");
+        }
+        return value.equals("on");
+    }
+
     private GatewayOptions applyMetricsPort(GatewayOptions nodeOptions) throws IOException {
         String text = metricsPort != null ? metricsPort : System.getenv().getOrDefault(METRICS_PORT_VARIABLE, "0");
         if (!text.matches("[0-9]{1,5}") || Integer.parseInt(text) > MAX_PORT) {
--- a/src/main/java/org/jujuberouter/gateway/DutySync.java
+++ b/src/main/java/org/jujuberouter/gateway/DutySync.java
@@ -89,7 +89,7 @@
         metrics.gauge("usage_last_window", control::lastWindow);
         metrics.gauge("usage_windows_pending", control::pendingWindows);
         metrics.gauge("usage_windows_given_up", control::givenUpWindows);
-        if (duties.settings().autoscale() && EngineScaling.isEnabled()) {
+        if (options.ordersEngines()) {
             EngineScaling.start(gateway, sync);
         }
         sync.loop.scheduleWithFixedDelay(sync::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
--- a/src/main/java/org/jujuberouter/gateway/EngineScaling.java
+++ b/src/main/java/org/jujuberouter/gateway/EngineScaling.java
@@ -25,9 +25,6 @@
 
 /** Orders engines while this instance leads: gives the controller its view and sends what it decides. */
 final class EngineScaling implements DutyTask {
-    /** Environment variable of the process that lets the leader order engines; it does not unless this is "on". */
-    private static final String ENABLED_VARIABLE = "JUJUBEROUTER_AUTOSCALING";
-
     private final Gateway gateway;
     private final DutySync duties;
     private final ScalingTelemetry telemetry;
@@ -41,11 +38,6 @@
         this.controller = ScaleController.of(ScalingPolicy.defaults(), telemetry);
     }
 
-    /** Returns whether the leader may order engines. */
-    static boolean isEnabled() {
-        return "on".equals(System.getenv(ENABLED_VARIABLE));
-    }
-
     /** Adds the orders of engines to the duties of this instance, and the demand it sees to its reports. */
     static void start(Gateway gateway, DutySync duties) {
         duties.addTask(new EngineScaling(gateway, duties));
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -105,11 +105,14 @@
         this.loop = loop;
         this.codec = codec;
         this.log = GatewayLog.create();
-        this.scheduler = CallScheduler.on(registry, ticker, DomainPolicy.of(options.domain(), options.domainMode()));
+        this.scheduler = CallScheduler.on(
+                registry,
+                ticker,
+                DomainPolicy.of(options.domain(), options.features().domainMode()));
         long slackDelayMs = options.firstStart() ? 0 : options.bounds().retryWindowMs();
         this.fullSlackAt = ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(slackDelayMs);
         this.instanceCount = RecentMaximum.of(ticker, options.bounds().retryWindowMs(), 1);
-        this.shares = options.fairSharing() ? FairShare.of(ticker) : FairShare.recordedOnly(ticker);
+        this.shares = options.features().fairSharing() ? FairShare.of(ticker) : FairShare.recordedOnly(ticker);
         this.waitQueue = CallQueue.sharedBy(shares, ticker);
         this.demandMeter = DemandMeter.of(options.domain());
         this.stopSchedule = StopSchedule.of(ticker, options.bounds().stopMs());
@@ -167,10 +170,6 @@
         return storeFreshness;
     }
 
-    CallScheduler scheduler() {
-        return scheduler;
-    }
-
     Optional<Catalog> catalog() {
         return catalog;
     }
@@ -419,7 +418,7 @@
 
     /** Queues a call that has just arrived and tries to place the queued calls in order. */
     void enqueueAndPlace(Exchange exchange, CallRequirements requirements, long arrivedNanos) {
-        if (duties.isPresent()) {
+        if (options.ordersEngines()) {
             catalog.flatMap(c -> c.service(requirements.service()))
                     .ifPresent(service -> demandMeter.arrived(requirements, service));
         }
@@ -436,7 +435,7 @@
             double waitedMs,
             CustomerStanding standing) {
         PlacementDecision decision = scheduler.place(requirements, service, tried, waitedMs, standing);
-        if (decision instanceof PlacementDecision.Refuse) {
+        if (decision instanceof PlacementDecision.Refuse && options.ordersEngines()) {
             demandMeter.refused(service.name());
         }
         return decision;
--- a/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayOptions.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
-import org.jujuberouter.dispatch.DomainMode;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
 
@@ -17,8 +16,7 @@
  * @param store address of the platform's key-value store
  * @param metrics listen address for metrics; empty if they are not served
  * @param firstStart whether the whole system starts for the first time, so that no instance has run before
- * @param domainMode how placement takes failure domains into account
- * @param fairSharing whether calls of customers above their fair share wait behind those of others
+ * @param features features that settings of the process turn on
  * @param bounds limits set for the deployment
  * @param duties calls that only one instance at a time may make; empty if there are none
  */
@@ -31,35 +29,13 @@
         InetSocketAddress store,
         Optional<InetSocketAddress> metrics,
         boolean firstStart,
-        DomainMode domainMode,
-        boolean fairSharing,
+        OptionalFeatures features,
         ServingBounds bounds,
         Optional<DutyOptions> duties) {
-    /** Creates options of an instance that places calls without regard to failure domains and shares of customers. */
-    public GatewayOptions(
-            InstanceId instance,
-            FailureDomain domain,
-            InetSocketAddress callers,
-            InetSocketAddress readiness,
-            InetSocketAddress peers,
-            InetSocketAddress store,
-            Optional<InetSocketAddress> metrics,
-            boolean firstStart,
-            ServingBounds bounds,
-            Optional<DutyOptions> duties) {
-        this(
-                instance,
-                domain,
-                callers,
-                readiness,
-                peers,
-                store,
-                metrics,
-                firstStart,
-                DomainMode.ANY,
-                false,
-                bounds,
-                duties);
+    /** Returns whether the leader orders engines by the demand that the instances report. */
+    boolean ordersEngines() {
+        return features.autoscaling()
+                && duties.filter(d -> d.settings().autoscale()).isPresent();
     }
 
     /** Returns a copy of these options that serves metrics at the given port of the callers' address. */
@@ -74,15 +50,14 @@
                 store,
                 Optional.of(address),
                 firstStart,
-                domainMode,
-                fairSharing,
+                features,
                 bounds,
                 duties);
     }
 
-    /** Returns a copy of these options with the given mode of placement across domains, and with fair sharing or not. */
-    public GatewayOptions withPlacement(DomainMode mode, boolean sharing) {
+    /** Returns a copy of these options with the given features. */
+    public GatewayOptions withFeatures(OptionalFeatures newFeatures) {
         return new GatewayOptions(
-                instance, domain, callers, readiness, peers, store, metrics, firstStart, mode, sharing, bounds, duties);
+                instance, domain, callers, readiness, peers, store, metrics, firstStart, newFeatures, bounds, duties);
     }
 }
--- a/src/main/java/org/jujuberouter/platform/NodeFile.java
+++ b/src/main/java/org/jujuberouter/platform/NodeFile.java
@@ -11,6 +11,7 @@
 import org.jujuberouter.duty.DutySettings;
 import org.jujuberouter.gateway.DutyOptions;
 import org.jujuberouter.gateway.GatewayOptions;
+import org.jujuberouter.gateway.OptionalFeatures;
 import org.jujuberouter.gateway.ServingBounds;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
@@ -48,6 +49,7 @@
                     Addresses.parse(KvValueCodec.text(node.path("Platform"), "Address")),
                     Optional.empty(),
                     node.path("Bootstrap").asBoolean(),
+                    OptionalFeatures.none(),
                     bounds(node.path("Bounds")),
                     duties(node.path("Cloud"), node.path("Bounds")));
         } catch (IllegalArgumentException e) {
