Compare the two clocks in one class

StoreFreshness, LeaseValidity and TrueTime each kept the difference of the wall clock and the monotonic clock and compared it with a limit. ClockComparison does so for all three. TrueTime reported a divergence of more than 150 ms and now does at 150 ms, as StoreFreshness; the limits are the same.

--- a/src/main/java/org/jujuberouter/dispatch/StoreFreshness.java
+++ b/src/main/java/org/jujuberouter/dispatch/StoreFreshness.java
@@ -1,6 +1,7 @@
 package org.jujuberouter.dispatch;
 
 import java.util.concurrent.TimeUnit;
+import org.jujuberouter.misc.ClockComparison;
 import org.jujuberouter.misc.Ticker;
 
 /**
@@ -21,19 +22,18 @@
     private static final long MAX_CLOCK_DRIFT_MS = 150;
 
     private final Ticker monotonicClock;
-    private final Ticker wallClock;
+    private final ClockComparison clocks;
     private final long usableNanos;
     private boolean confirmed;
     private long confirmedAt;
     private boolean jumped;
     private long jumpedAt;
-    private long clockOffset;
 
     private StoreFreshness(Ticker monotonicClock, Ticker wallClock, long revocationBoundMs) {
         this.monotonicClock = monotonicClock;
-        this.wallClock = wallClock;
+        this.clocks =
+                ClockComparison.start(monotonicClock, wallClock, TimeUnit.MILLISECONDS.toNanos(MAX_CLOCK_DRIFT_MS));
         this.usableNanos = (long) (TimeUnit.MILLISECONDS.toNanos(revocationBoundMs) * USABLE_FRACTION);
-        this.clockOffset = wallClock.nanos() - monotonicClock.nanos();
     }
 
     /** Returns the state before the store has been read. */
@@ -69,11 +69,10 @@
 
     /** Discards the confirmation if the clocks have diverged; returns whether they have. */
     private boolean invalidateOnClockJump() {
-        long currentOffset = wallClock.nanos() - monotonicClock.nanos();
-        if (Math.abs(currentOffset - clockOffset) < TimeUnit.MILLISECONDS.toNanos(MAX_CLOCK_DRIFT_MS)) {
+        if (!clocks.hasDiverged()) {
             return false;
         }
-        clockOffset = currentOffset;
+        clocks.restart();
         confirmed = false;
         jumped = true;
         jumpedAt = monotonicClock.nanos();
--- a/src/main/java/org/jujuberouter/duty/LeaseValidity.java
+++ b/src/main/java/org/jujuberouter/duty/LeaseValidity.java
@@ -1,6 +1,7 @@
 package org.jujuberouter.duty;
 
 import java.util.concurrent.TimeUnit;
+import org.jujuberouter.misc.ClockComparison;
 import org.jujuberouter.misc.Ticker;
 
 /**
@@ -15,21 +16,18 @@
     private static final long SAFETY_MARGIN_MS = 1_000;
 
     private final Ticker monotonicClock;
-    private final Ticker wallClock;
+    private final ClockComparison clocks;
     private final long usableNanos;
-    private final long maxDriftNanos;
     private boolean confirmed;
     private long confirmedAt;
     private long jumpedAt;
-    private long clockOffset;
 
     private LeaseValidity(Ticker monotonicClock, Ticker wallClock, long leaseMs, long thawMs) {
         this.monotonicClock = monotonicClock;
-        this.wallClock = wallClock;
         this.usableNanos = TimeUnit.MILLISECONDS.toNanos(leaseMs - SAFETY_MARGIN_MS);
         // Half, since a wall clock that was set back meanwhile hides a part of a suspension.
-        this.maxDriftNanos = TimeUnit.MILLISECONDS.toNanos(thawMs) / 2;
-        this.clockOffset = wallClock.nanos() - monotonicClock.nanos();
+        long maxDriftNanos = TimeUnit.MILLISECONDS.toNanos(thawMs) / 2;
+        this.clocks = ClockComparison.start(monotonicClock, wallClock, maxDriftNanos);
         this.jumpedAt = monotonicClock.nanos();
     }
 
@@ -65,9 +63,8 @@
     }
 
     private void checkClocks() {
-        long offset = wallClock.nanos() - monotonicClock.nanos();
-        if (Math.abs(offset - clockOffset) >= maxDriftNanos) {
-            clockOffset = offset;
+        if (clocks.hasDiverged()) {
+            clocks.restart();
             lost();
         }
     }
--- a/src/main/java/org/jujuberouter/duty/TrueTime.java
+++ b/src/main/java/org/jujuberouter/duty/TrueTime.java
@@ -1,6 +1,7 @@
 package org.jujuberouter.duty;
 
 import java.util.concurrent.TimeUnit;
+import org.jujuberouter.misc.ClockComparison;
 import org.jujuberouter.misc.Ticker;
 
 /**
@@ -13,11 +14,11 @@
 
     private final Ticker monotonicClock;
     private final Ticker wallClock;
+    private final ClockComparison clocks;
     private final long startedAt;
     private boolean corrected;
     private long correctedAt;
     private long correctedMs;
-    private long clockOffset;
     private long reportWallMs;
     private long reportUptimeMs = -1;
 
@@ -25,7 +26,8 @@
         this.monotonicClock = monotonicClock;
         this.wallClock = wallClock;
         this.startedAt = monotonicClock.nanos();
-        this.clockOffset = wallClock.nanos() - startedAt;
+        this.clocks =
+                ClockComparison.start(monotonicClock, wallClock, TimeUnit.MILLISECONDS.toNanos(MAX_CLOCK_DRIFT_MS));
     }
 
     static TrueTime of(Ticker monotonicClock, Ticker wallClock) {
@@ -49,13 +51,12 @@
     void reported() {
         reportWallMs = wallMs();
         reportUptimeMs = uptimeMs();
-        clockOffset = wallClock.nanos() - monotonicClock.nanos();
+        clocks.restart();
     }
 
     /** Returns whether the clocks have diverged since the last report, so that a correction is due. */
     boolean hasJumped() {
-        long offset = wallClock.nanos() - monotonicClock.nanos();
-        return Math.abs(offset - clockOffset) > TimeUnit.MILLISECONDS.toNanos(MAX_CLOCK_DRIFT_MS);
+        return clocks.hasDiverged();
     }
 
     /** Returns whether the reply to the last report is known by its uptime to have been received. */
