--- a/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
@@ -19,6 +19,8 @@
     /** Maximum number of customers whose usage is rendered; each one is a time series of its own. */
     private static final int MAX_CUSTOMERS = 32;
 
+    private static final String SHARE_USED = "customer_share_used";
+
     private final LabelledMetrics metrics = LabelledMetrics.create();
     private FairShare shares;
 
@@ -115,17 +117,15 @@
     }
 
     String render() {
-        StringBuilder out = new StringBuilder(metrics.render());
         if (shares != null) {
+            // Other customers may be among the largest since the last time.
+            metrics.removeGauges(SHARE_USED);
             for (FairShare.Usage u : shares.largest(MAX_CUSTOMERS)) {
-                out.append("jujuberouter_customer_share_used{customer=\"")
-                        .append(u.customer().map(CustomerId::value).orElse("").replace('"', '\''))
-                        .append("\"} ")
-                        .append(u.percentOfEqualShare())
-                        .append('\n');
+                String customer = u.customer().map(CustomerId::value).orElse("").replace('"', '\'');
+                metrics.gauge(SHARE_USED, "customer=\"" + customer + "\"", u::percentOfEqualShare);
             }
         }
-        return out.toString();
+        return metrics.render();
     }
 
     private static String labels(String service, String customer) {
