Skip work on each call that nothing reads

Where shares are not enforced, arrivals and priorities are not summed up; where failure domains are ignored, the room at home is not looked for. No decision reads them then.

--- a/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
@@ -186,9 +186,10 @@
                 requirements.objectiveMs(),
                 0,
                 requirements.onTimeGain());
-        boolean homeHadRoom = candidates.stream()
-                .anyMatch(c -> domains.isHome(c.domain())
-                        && c.load().slotsUsed() < c.registration().slots());
+        boolean homeHadRoom = domains.prefersHome()
+                && candidates.stream()
+                        .anyMatch(c -> domains.isHome(c.domain())
+                                && c.load().slotsUsed() < c.registration().slots());
         AwayReason away = awayReason(e, homeHadRoom ? AwayReason.HOME_LATE : eligible.homeState());
         return new PlacementDecision.Send(e, List.of(), List.of(allocation), 0, 0, 0, away);
     }
--- a/src/main/java/org/jujuberouter/dispatch/FairShare.java
+++ b/src/main/java/org/jujuberouter/dispatch/FairShare.java
@@ -145,7 +145,7 @@
         Account account = contest.accounts.computeIfAbsent(claim.customer(), _ -> new Account(now));
         account.usage += work;
         contest.total += work;
-        if (claim.priority() != WorkClaim.UNKNOWN_PRIORITY) {
+        if (enforced && claim.priority() != WorkClaim.UNKNOWN_PRIORITY) {
             contest.priorities.computeIfAbsent(claim.priority(), _ -> new PriorityWork()).placed += work;
         }
         if (waitedMs >= MIN_WAIT_MS) {
@@ -155,6 +155,9 @@
 
     /** Records a call that arrived at this instance. */
     public void recordArrival(CallRequirements call) {
+        if (!enforced) {
+            return;
+        }
         Contest contest = contests.computeIfAbsent(call.service(), _ -> new Contest());
         contest.priorities.computeIfAbsent(call.claim().priority(), _ -> new PriorityWork()).arrived +=
                 call.claim().workMs() * growth(ticker.nanos());
