Keep the size of a small fleet and the age of a report in one place each

StoreProofRoles had a copy of the constant of StoreWatcher, ReporterTable compared the age of a report in three places and sorted all clocks to learn whether there is one, and HolderElection.leaseLost was resign under another name.

--- a/src/main/java/org/jujuberouter/control/StoreWatcher.java
+++ b/src/main/java/org/jujuberouter/control/StoreWatcher.java
@@ -68,7 +68,7 @@
     private static final long PROVED_BATCHING_MS = 1_200;
 
     /** Largest fleet that batches as if no peer reported; it has one group, and its calls are few. */
-    private static final int MAX_SMALL_FLEET = 23;
+    public static final int MAX_SMALL_FLEET = 23;
 
     /**
      * Time after which a watch is replaced that should have been answered at once, as a peer has a later revision; a
--- a/src/main/java/org/jujuberouter/duty/DutyControl.java
+++ b/src/main/java/org/jujuberouter/duty/DutyControl.java
@@ -220,7 +220,7 @@
     /** Records that the lease of the registration is lost. */
     public void leaseLost() {
         lease.lost();
-        election.leaseLost();
+        election.resign();
         termChanged();
     }
 
--- a/src/main/java/org/jujuberouter/duty/HolderElection.java
+++ b/src/main/java/org/jujuberouter/duty/HolderElection.java
@@ -159,7 +159,7 @@
         quietSince = ticker.nanos();
     }
 
-    /** Ends the term at once; a key that is left is deleted later. */
+    /** Ends the term at once, also because the lease of its key is lost; a key that is left is deleted later. */
     void resign() {
         deletedAt = ticker.nanos();
         attemptOpen = false;
@@ -167,11 +167,6 @@
         endTerm();
     }
 
-    /** Records that the lease of the registration is lost, and with it a key that was created under it. */
-    void leaseLost() {
-        resign();
-    }
-
     private void begin(long revision) {
         attemptOpen = false;
         attemptUnresolved = false;
--- a/src/main/java/org/jujuberouter/duty/Reporter.java
+++ b/src/main/java/org/jujuberouter/duty/Reporter.java
@@ -15,6 +15,9 @@
     /** Change of the difference between the wall clock and the uptime that indicates a step of the wall clock. */
     private static final long MIN_STEP_MS = 20;
 
+    /** Age of a report from which on the clock and the demand of its instance do not count. */
+    private static final long MAX_REPORT_AGE_MS = 5_000;
+
     private final Deque<Long> offsets = new ArrayDeque<>();
     private long startOffsetMs;
     private long uptimeMs;
@@ -53,6 +56,11 @@
         return receivedMs - uptimeMs;
     }
 
+    /** Returns whether the clock and the demand of the instance count at the given time of the leader's clock. */
+    boolean isRecent(long nowMs) {
+        return nowMs - receivedMs <= MAX_REPORT_AGE_MS;
+    }
+
     long receivedMs() {
         return receivedMs;
     }
--- a/src/main/java/org/jujuberouter/duty/ReporterTable.java
+++ b/src/main/java/org/jujuberouter/duty/ReporterTable.java
@@ -14,9 +14,6 @@
  * of the leader's monotonic clock in milliseconds unless stated otherwise.
  */
 final class ReporterTable {
-    /** Age of a report from which on the clock and the demand of its instance do not count. */
-    private static final long MAX_REPORT_AGE_MS = 5_000;
-
     private final Map<Incarnation, Reporter> reporters = new HashMap<>();
     private long firstStartMs = Long.MAX_VALUE;
 
@@ -43,7 +40,12 @@
 
     /** Returns whether any instance has reported lately, so that the true time is known. */
     boolean knowsTime(long nowMs) {
-        return offsets(nowMs).length > 0;
+        for (Reporter r : reporters.values()) {
+            if (r.isRecent(nowMs)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Returns the true time in milliseconds since 1970. */
@@ -66,7 +68,7 @@
         long[] offsets = new long[reporters.size()];
         int count = 0;
         for (Reporter r : reporters.values()) {
-            if (nowMs - r.receivedMs() <= MAX_REPORT_AGE_MS) {
+            if (r.isRecent(nowMs)) {
                 offsets[count++] = r.offsetMs();
             }
         }
@@ -93,7 +95,7 @@
     List<InstanceDemand> demands(long nowMs) {
         List<InstanceDemand> demands = new ArrayList<>();
         reporters.forEach((source, r) -> {
-            if (nowMs - r.receivedMs() <= MAX_REPORT_AGE_MS) {
+            if (r.isRecent(nowMs)) {
                 demands.add(new InstanceDemand(source, nowMs - r.receivedMs(), r.demand()));
             }
         });
--- a/src/main/java/org/jujuberouter/gateway/StoreProofRoles.java
+++ b/src/main/java/org/jujuberouter/gateway/StoreProofRoles.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import org.jujuberouter.control.StoreWatcher;
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.misc.Ticker;
 import org.jujuberouter.peer.PeerMessage;
@@ -21,9 +22,6 @@
     /** Number of candidates; one of them may fail. */
     private static final int CANDIDATES = 2;
 
-    /** Largest fleet in which both candidates prove all the time; it is one group. */
-    private static final int MAX_SMALL_FLEET = 23;
-
     private static final long QUERY_INTERVAL_MS = 500;
 
     /**
@@ -68,7 +66,7 @@
         }
         candidates = selected;
         alone = selected.size() == 1;
-        smallFleet = fleetSize <= MAX_SMALL_FLEET;
+        smallFleet = fleetSize <= StoreWatcher.MAX_SMALL_FLEET;
     }
 
     /** Returns whether others may ask this instance, also while it does not reach the store. */
