Share the stub of a store among the tests of watches

Three tests each had the same methods without effect. In the simulation of calls to the store, a write of a crash or a quarantine now fails as in the other two.

--- a/src/test/java/org/jujuberouter/control/StoreWatcherTest.java
+++ b/src/test/java/org/jujuberouter/control/StoreWatcherTest.java
@@ -15,10 +15,8 @@
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import org.jujuberouter.dispatch.StoreFreshness;
-import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
-import org.jujuberouter.id.RequestTrait;
 import org.jujuberouter.misc.ManualTicker;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -63,7 +61,7 @@
     };
 
     /** Keeps each request until the test answers it. */
-    private static final class ScriptedStore implements ControlStore {
+    private static final class ScriptedStore implements WatchOnlyStore {
         private final Deque<Consumer<ControlReply>> reads = new ArrayDeque<>();
         private final Deque<Consumer<ControlReply>> watches = new ArrayDeque<>();
         private final List<Long> watchedAfter = new ArrayList<>();
@@ -98,34 +96,6 @@
                 cancelled.accept(new ControlReply.Failed("cancelled"));
             }
         }
-
-        @Override
-        public void register(
-                InstanceId instance,
-                FailureDomain domain,
-                InetSocketAddress peers,
-                long leaseMs,
-                Consumer<String> answer) {}
-
-        @Override
-        public void renew(Consumer<LeaseReply> answer) {}
-
-        @Override
-        public void writeCrash(
-                EndpointId endpoint,
-                InstanceId reporter,
-                List<List<RequestTrait>> suspects,
-                Consumer<String> listener) {
-            throw new UnsupportedOperationException("no crash is written here");
-        }
-
-        @Override
-        public void writeQuarantine(RequestTrait trait, long remainingMs, Consumer<String> listener) {
-            throw new UnsupportedOperationException("no quarantine is written here");
-        }
-
-        @Override
-        public void deregister(Runnable done) {}
     }
 
     @AfterEach
--- a/src/test/java/org/jujuberouter/duty/DutySimulationTest.java
+++ b/src/test/java/org/jujuberouter/duty/DutySimulationTest.java
@@ -35,7 +35,7 @@
         assertEquals(List.of(), violations(Variant.CORRECT));
     }
 
-    /** Guards against a leader that is so careful that nobody reports, and against windows that are left out. */
+    /** Guards against a leader that acts so rarely that nothing is reported, and against windows that are left out. */
     @Test
     void reportsEveryWindowOnceFaultsHaveEnded() {
         for (long seed = 0; seed < SEEDS; seed++) {
--- a/src/test/java/org/jujuberouter/gateway/StoreCallSimulation.java
+++ b/src/test/java/org/jujuberouter/gateway/StoreCallSimulation.java
@@ -16,15 +16,12 @@
 import org.jujuberouter.control.ControlEntry;
 import org.jujuberouter.control.ControlEvent;
 import org.jujuberouter.control.ControlReply;
-import org.jujuberouter.control.ControlStore;
-import org.jujuberouter.control.LeaseReply;
 import org.jujuberouter.control.StoreListener;
 import org.jujuberouter.control.StoreWatcher;
+import org.jujuberouter.control.WatchOnlyStore;
 import org.jujuberouter.dispatch.StoreFreshness;
-import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
-import org.jujuberouter.id.RequestTrait;
 import org.jujuberouter.misc.ManualTicker;
 import org.jujuberouter.peer.PeerMessage;
 
@@ -177,7 +174,7 @@
     }
 
     /** One instance. */
-    final class Instance implements ControlStore, StoreListener {
+    final class Instance implements WatchOnlyStore, StoreListener {
         private final int index;
         private final EmbeddedChannel channel = new EmbeddedChannel();
         private final ManualTicker clock = ManualTicker.atZero();
@@ -424,30 +421,6 @@
 
         @Override
         public void onUnavailable(String reason) {}
-
-        @Override
-        public void register(
-                InstanceId id,
-                FailureDomain domain,
-                InetSocketAddress peers,
-                long leaseMs,
-                Consumer<String> listener) {}
-
-        @Override
-        public void renew(Consumer<LeaseReply> listener) {}
-
-        @Override
-        public void writeCrash(
-                EndpointId endpoint,
-                InstanceId reporter,
-                List<List<RequestTrait>> suspects,
-                Consumer<String> listener) {}
-
-        @Override
-        public void writeQuarantine(RequestTrait trait, long remainingMs, Consumer<String> listener) {}
-
-        @Override
-        public void deregister(Runnable done) {}
     }
 
     /** Scripts a day of 87 s with storms, an outage, a slow store, refused instances, restarts and pauses. */
--- a/src/test/java/org/jujuberouter/gateway/StoreProofSimulationTest.java
+++ b/src/test/java/org/jujuberouter/gateway/StoreProofSimulationTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.embedded.EmbeddedChannel;
-import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -19,15 +18,11 @@
 import org.jujuberouter.control.ControlEntry;
 import org.jujuberouter.control.ControlEvent;
 import org.jujuberouter.control.ControlReply;
-import org.jujuberouter.control.ControlStore;
-import org.jujuberouter.control.LeaseReply;
 import org.jujuberouter.control.StoreListener;
 import org.jujuberouter.control.StoreWatcher;
+import org.jujuberouter.control.WatchOnlyStore;
 import org.jujuberouter.dispatch.StoreFreshness;
-import org.jujuberouter.id.EndpointId;
 import org.jujuberouter.id.FailureDomain;
-import org.jujuberouter.id.InstanceId;
-import org.jujuberouter.id.RequestTrait;
 import org.jujuberouter.misc.ManualTicker;
 import org.jujuberouter.peer.PeerMessage;
 import org.junit.jupiter.api.Test;
@@ -152,7 +147,7 @@
     private record PendingWatch(long after, long deadline, long failsAt, Consumer<ControlReply> listener) {}
 
     /** One instance; its monotonic clock stops while it is suspended. */
-    private static final class Instance implements ControlStore, StoreListener {
+    private static final class Instance implements WatchOnlyStore, StoreListener {
         private final Run run;
         private final int index;
         private final EmbeddedChannel channel = new EmbeddedChannel();
@@ -305,34 +300,6 @@
 
         @Override
         public void onUnavailable(String reason) {}
-
-        @Override
-        public void register(
-                InstanceId id,
-                FailureDomain domain,
-                InetSocketAddress peers,
-                long leaseMs,
-                Consumer<String> listener) {}
-
-        @Override
-        public void renew(Consumer<LeaseReply> listener) {}
-
-        @Override
-        public void writeCrash(
-                EndpointId endpoint,
-                InstanceId reporter,
-                List<List<RequestTrait>> suspects,
-                Consumer<String> listener) {
-            throw new UnsupportedOperationException("no crash is written here");
-        }
-
-        @Override
-        public void writeQuarantine(RequestTrait trait, long remainingMs, Consumer<String> listener) {
-            throw new UnsupportedOperationException("no quarantine is written here");
-        }
-
-        @Override
-        public void deregister(Runnable done) {}
     }
 
     private static int violations(UnaryOperator<PeerMessage.ContactReport> tamper) {
