Do not take refused connections for a domain that is cut off

Callers of a small deployment were served worse when all engines of one failure domain restarted together: each instance counted three refused connections as a network cut and avoided the whole domain for 1 to 4 s, also after its engines were back.

A host that refuses a connection has been reached, so a refusal now ends the suspicion instead of adding to it. ClientCall reports it as a kind of its own.

--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -334,10 +334,12 @@
         recordUnreachable(endpoint);
     }
 
-    /** Records that an endpoint could not be connected to, if that is the failure; its domain may be cut off. */
+    /** Records what a failed attempt says about the network path to the endpoint's domain. */
     void attemptFailed(TrackedEndpoint endpoint, CallFailure failure) {
-        if (failure.kind() == CallFailure.Kind.CONNECT) {
-            recordUnreachable(endpoint);
+        switch (failure.kind()) {
+            case CONNECT -> recordUnreachable(endpoint);
+            case REFUSED -> endpoint.domain().recordReached();
+            default -> {}
         }
     }
 
--- a/src/main/java/org/jujuberouter/http/CallFailure.java
+++ b/src/main/java/org/jujuberouter/http/CallFailure.java
@@ -10,7 +10,9 @@
 public record CallFailure(Kind kind, boolean sent, String detail) {
     /** The kind of failure of the connection. */
     public enum Kind {
-        /** The connection could not be opened. */
+        /** The server's host was reached and refused the connection, for instance because the server restarts. */
+        REFUSED,
+        /** The connection could not be opened for another reason. */
         CONNECT,
         /** The server closed the connection before the response was complete. */
         CLOSED,
--- a/src/main/java/org/jujuberouter/http/ClientCall.java
+++ b/src/main/java/org/jujuberouter/http/ClientCall.java
@@ -81,13 +81,19 @@
         }
     }
 
+    /** The JDK has one exception for all connect errors of the operating system; only their messages differ. */
+    private static boolean isRefusal(String detail) {
+        return detail.startsWith("Connection refused");
+    }
+
     private void onConnect(boolean success, Throwable cause, FullHttpRequest request) {
         if (finished) {
             request.release();
             reset();
         } else if (!success) {
             request.release();
-            fail(CallFailure.Kind.CONNECT, String.valueOf(cause.getMessage()));
+            String detail = String.valueOf(cause.getMessage());
+            fail(isRefusal(detail) ? CallFailure.Kind.REFUSED : CallFailure.Kind.CONNECT, detail);
         } else {
             connected = true;
             channel.writeAndFlush(request).addListener(f -> requestFailed = !f.isSuccess());
--- a/src/test/java/org/jujuberouter/http/ClientCallTest.java
+++ b/src/test/java/org/jujuberouter/http/ClientCallTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -89,6 +90,21 @@
         }
     }
 
+    /** A refused connection proves that the network path to the host works, in contrast to other connect failures. */
+    @Test
+    void tellsARefusedConnectionFromAnUnreachableHost() throws Exception {
+        ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        closed.close();
+        Recorder recorder = new Recorder();
+        ClientCall.send(
+                group.next(),
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), closed.getLocalPort()),
+                CONNECT_TIMEOUT_MS,
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                recorder);
+        assertEquals(CallFailure.Kind.REFUSED, recorder.failure.get(5, TimeUnit.SECONDS));
+    }
+
     /** Sends until the client closes the connection; returns the number of bytes written. */
     private static long flood(ServerSocket server, String start, String repeated) {
         long bytes = 0;
