Leave endpoints alone that shut down or ask for a pause

Endpoints state in their responses that they take no new requests (Server-Leaving: 1) or want none for a while (503 with Retry-After). Neither was read, so an endpoint got new calls until the store showed it as draining, which takes seconds and does not happen while the store is away, and an endpoint that was recovering was asked again every 75 ms.

Both are recorded when the head of a response is read, before anything of it is relayed. An endpoint that leaves is unusable until a new run of it registers. A call that waited for memory is placed anew if one of its endpoints has left or pauses meanwhile. Not covered: responses to memory orders, reports and probes, and telling peers.

--- a/src/main/java/org/jujuberouter/dispatch/EndpointRegistry.java
+++ b/src/main/java/org/jujuberouter/dispatch/EndpointRegistry.java
@@ -140,6 +140,11 @@
         return e.isUsable(now) && !evacuated.contains(e.registration().domain());
     }
 
+    /** Records that an endpoint had no capacity for a call. */
+    public void markFull(EndpointId id) {
+        find(id).ifPresent(e -> e.markFull(ticker.nanos()));
+    }
+
     /** Returns the number of registered endpoints. */
     public int size() {
         return endpoints.size();
--- a/src/main/java/org/jujuberouter/dispatch/PlacementDecision.java
+++ b/src/main/java/org/jujuberouter/dispatch/PlacementDecision.java
@@ -1,6 +1,8 @@
 package org.jujuberouter.dispatch;
 
 import java.util.List;
+import java.util.stream.Stream;
+import org.jujuberouter.catalog.Endpoint;
 
 /** The outcome of placing a call. */
 public sealed interface PlacementDecision {
@@ -30,6 +32,18 @@
             helpers = List.copyOf(helpers);
             allocations = List.copyOf(allocations);
         }
+
+        /** Returns the registrations of the endpoint and of the helpers. */
+        public List<Endpoint> registrations() {
+            return Stream.concat(Stream.of(endpoint), helpers.stream())
+                    .map(TrackedEndpoint::registration)
+                    .toList();
+        }
+
+        /** Returns whether the endpoint and all helpers still accept new requests. */
+        public boolean isUsable(long now) {
+            return endpoint.acceptsRequests(now) && helpers.stream().allMatch(h -> h.acceptsRequests(now));
+        }
     }
 
     /**
--- a/src/main/java/org/jujuberouter/dispatch/TrackedEndpoint.java
+++ b/src/main/java/org/jujuberouter/dispatch/TrackedEndpoint.java
@@ -37,6 +37,8 @@
     private long expiresAt = Long.MAX_VALUE;
     private long backoffUntil = Long.MIN_VALUE;
     private long fullUntil = Long.MIN_VALUE;
+    private long pausedUntil = Long.MIN_VALUE;
+    private boolean leaving;
     private int consecutiveFailures;
     private double failureRate;
     private double expectedDelayMs;
@@ -73,12 +75,17 @@
 
     /** Returns whether the endpoint accepts new calls, regardless of its load. */
     public boolean isUsable(long now) {
-        return !registration.draining() && now < expiresAt;
+        return !registration.draining() && !leaving && now < expiresAt;
     }
 
-    /** Returns whether the endpoint has recently reported that it has no capacity. */
+    /** Returns whether the endpoint has reported that it has no capacity, or wants a pause, and this still holds. */
     public boolean isFull(long now) {
-        return now < fullUntil;
+        return now < fullUntil || now < pausedUntil;
+    }
+
+    /** Returns whether a request may be sent now that was placed a while ago, when memory had to be reserved first. */
+    boolean acceptsRequests(long now) {
+        return isUsable(now) && now >= pausedUntil;
     }
 
     /** Returns whether the endpoint is avoided because of recent failures. */
@@ -168,6 +175,19 @@
         backoffUntil = Math.max(backoffUntil, now + TimeUnit.MILLISECONDS.toNanos(INITIAL_BACKOFF_MS));
     }
 
+    /**
+     * Records that the endpoint takes no new calls for the rest of its run. The store may show it as ready for seconds, or
+     * cannot be reached, so no registration of the same run ends this.
+     */
+    public void markLeaving() {
+        leaving = true;
+    }
+
+    /** Records that the endpoint wants no calls of this instance for a while. */
+    public void pauseFor(long millis, long now) {
+        pausedUntil = Math.max(pausedUntil, now + TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+
     /** Records that the endpoint had no capacity for a call. */
     public void markFull(long now) {
         fullUntil = Math.max(fullUntil, now + TimeUnit.MILLISECONDS.toNanos(FULL_RETRY_MS));
--- a/src/main/java/org/jujuberouter/gateway/CallCodec.java
+++ b/src/main/java/org/jujuberouter/gateway/CallCodec.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.catalog.RequestHead;
+import org.jujuberouter.dispatch.TrackedEndpoint;
 import org.jujuberouter.id.CustomerId;
 import org.jujuberouter.id.RequestId;
 
@@ -60,6 +61,25 @@
      * @param notRun whether the endpoint states that it did not run the call
      * @param misdirected whether the request reached an endpoint other than the intended one
      * @param coldMs remaining cold-start time of the endpoint; empty if not reported
+     * @param leaving whether the endpoint states that it takes no new requests for the rest of its run
+     * @param pauseMs time for which the endpoint wants no requests of this instance, in milliseconds
      */
-    record Answer(int status, String id, boolean signed, boolean notRun, boolean misdirected, OptionalLong coldMs) {}
+    record Answer(
+            int status,
+            String id,
+            boolean signed,
+            boolean notRun,
+            boolean misdirected,
+            OptionalLong coldMs,
+            boolean leaving,
+            long pauseMs) {
+        /** Records what the endpoint states about itself. */
+        void recordAt(TrackedEndpoint endpoint, long now) {
+            coldMs.ifPresent(ms -> endpoint.setColdFor(ms, now));
+            if (leaving) {
+                endpoint.markLeaving();
+            }
+            endpoint.pauseFor(pauseMs, now);
+        }
+    }
 }
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -39,8 +39,6 @@
     /** Endpoints are a few milliseconds away; the rest of the shortest objective still suffices for a short prompt. */
     private static final int CONNECT_TIMEOUT_MS = 200;
 
-    private static final long RETRY_AFTER_MS = 500;
-
     /** Callers send a retry to another instance, which can take the call at once. */
     private static final long RETRY_ELSEWHERE_MS = 0;
 
@@ -89,7 +87,7 @@
         }
         Optional<Catalog> catalog = gateway.catalog();
         if (catalog.isEmpty() || !gateway.storeFreshness().isCurrent()) {
-            respondWithError(503, "the configuration is not known to be current", RETRY_AFTER_MS);
+            respondWithError(503, "the configuration is not known to be current", Admission.RETRY_AFTER_MS);
             return;
         }
         if (!admit(catalog.get())) {
@@ -164,7 +162,7 @@
             return true;
         }
         if (!gateway.storeFreshness().isCurrent()) {
-            refuseOrFail("the configuration is not known to be current", RETRY_AFTER_MS);
+            refuseOrFail("the configuration is not known to be current", Admission.RETRY_AFTER_MS);
             return true;
         }
         if (!mayHaveRun && !gateway.canEndBeforeStop(requirements, service, remainingMs())) {
@@ -206,33 +204,39 @@
             sendRequest(thisAttempt, placement, "");
             return;
         }
-        List<Endpoint> engines = new ArrayList<>();
-        engines.add(endpoint.registration());
-        placement.helpers().forEach(h -> engines.add(h.registration()));
         thisAttempt.reservation = Reservation.request(
                 gateway.reservations(),
                 gateway.loop(),
                 gateway.ticker(),
                 call.id().value() + "-" + ++reservations,
-                engines,
+                placement.registrations(),
                 placement.reservedTokensPerEngine(),
                 new ReservationListener(
-                        () -> sendRequest(thisAttempt, placement, thisAttempt.reservation.id()),
-                        this::onMemoryRefused,
-                        this::onMemoryLapsed),
+                        () -> sendReserved(thisAttempt, placement), this::onMemoryRefused, this::onMemoryLapsed),
                 telemetry);
     }
 
-    private void onMemoryRefused(Endpoint engine) {
-        telemetry.logWarning("memory not reserved", Map.entry("endpoint", engine.id()));
-        gateway.registry()
-                .find(engine.id())
-                .ifPresent(e -> e.markFull(gateway.ticker().nanos()));
+    private void sendReserved(Attempt thisAttempt, PlacementDecision.Send placement) {
+        if (placement.isUsable(gateway.ticker().nanos())) {
+            sendRequest(thisAttempt, placement, thisAttempt.reservation.id());
+        } else {
+            enqueueAgain();
+        }
+    }
+
+    /** Queues a call again that has not been sent to its endpoint. */
+    private void enqueueAgain() {
         triedEndpoints.remove(attempt.endpoint.registration().id());
         endAttempt();
         gateway.enqueue(this, requirements, telemetry.arrivedNanos());
     }
 
+    private void onMemoryRefused(Endpoint engine) {
+        telemetry.logWarning("memory not reserved", Map.entry("endpoint", engine.id()));
+        gateway.registry().markFull(engine.id());
+        enqueueAgain();
+    }
+
     /**
      * Retries a call whose reserved memory has expired, so that its engine has cut it off or ended it. A call that is not
      * retryable waits for the engine to close the connection.
@@ -371,9 +375,7 @@
             telemetry.logWarning("skipped an answer to another call", Map.entry("other", answer.id()));
             return false;
         }
-        answer.coldMs()
-                .ifPresent(
-                        ms -> attempt.endpoint.setColdFor(ms, gateway.ticker().nanos()));
+        answer.recordAt(attempt.endpoint, gateway.ticker().nanos());
         if (answer.notRun()) {
             notRun(answer);
             return false;
@@ -413,7 +415,7 @@
         boolean mayRetry = triedEndpoints.size() < route.maxAttempts() + 1 && gateway.tryRetry(service.name());
         endAttempt();
         if (!mayRetry) {
-            refuseOrFail("the endpoint had no room", RETRY_AFTER_MS);
+            refuseOrFail("the endpoint had no room", Admission.RETRY_AFTER_MS);
         } else {
             placeOrEnqueue();
         }
@@ -477,7 +479,7 @@
             return;
         }
         endAttempt();
-        refuseOrFail(reason, RETRY_AFTER_MS);
+        refuseOrFail(reason, Admission.RETRY_AFTER_MS);
     }
 
     private boolean retry(String reason) {
@@ -537,11 +539,7 @@
     }
 
     private void refuseOrFail(String reason, long retryAfterMs) {
-        if (mayHaveRun) {
-            failCall(502, reason, -1);
-        } else {
-            failCall(503, reason, retryAfterMs);
-        }
+        failCall(mayHaveRun ? 502 : 503, reason, mayHaveRun ? -1 : retryAfterMs);
     }
 
     /** Fails the call: with an error response, or by closing the connection if the response has started. */
--- a/src/main/java/org/jujuberouter/platform/PlatformCallCodec.java
+++ b/src/main/java/org/jujuberouter/platform/PlatformCallCodec.java
@@ -8,12 +8,14 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import org.jujuberouter.catalog.RequestHead;
 import org.jujuberouter.gateway.CallCodec;
@@ -24,6 +26,13 @@
 public final class PlatformCallCodec implements CallCodec {
     private static final String BEARER = "Bearer ";
     private static final int MISDIRECTED_REQUEST = 421;
+    private static final String LEAVING = "1";
+
+    /** A number of seconds; dates, signs and exponents are not used between instances and endpoints. */
+    private static final Pattern SECONDS = Pattern.compile("[0-9]{1,12}(\\.[0-9]{1,12})?");
+
+    /** Longest pause that is believed; an endpoint that is gone for longer is registered anew. */
+    private static final long MAX_PAUSE_MS = 600_000;
 
     /** Number of parts of a prompt that are taken into account, so that a caller cannot make this state grow. */
     private static final int MAX_SHARED_PARTS = 16;
@@ -110,7 +119,20 @@
                 h.contains(PlatformHeaders.SIGNATURE),
                 h.contains(PlatformHeaders.NOT_EXECUTED) || status == MISDIRECTED_REQUEST,
                 status == MISDIRECTED_REQUEST,
-                cold.matches("[0-9]{1,9}") ? OptionalLong.of(Long.parseLong(cold)) : OptionalLong.empty());
+                cold.matches("[0-9]{1,9}") ? OptionalLong.of(Long.parseLong(cold)) : OptionalLong.empty(),
+                LEAVING.equals(h.get(PlatformHeaders.LEAVING)),
+                status == HttpResponseStatus.SERVICE_UNAVAILABLE.code() ? pauseMs(h) : 0);
+    }
+
+    /** Returns the longest time in the Retry-After headers, in milliseconds; 0 without a valid number of seconds. */
+    private static long pauseMs(HttpHeaders h) {
+        long longest = 0;
+        for (String seconds : h.getAll(HttpHeaderNames.RETRY_AFTER)) {
+            if (SECONDS.matcher(seconds.strip()).matches()) {
+                longest = Math.max(longest, Math.round(Double.parseDouble(seconds.strip()) * 1_000));
+            }
+        }
+        return Math.min(longest, MAX_PAUSE_MS);
     }
 
     @Override
--- a/src/main/java/org/jujuberouter/platform/PlatformHeaders.java
+++ b/src/main/java/org/jujuberouter/platform/PlatformHeaders.java
@@ -32,6 +32,9 @@
     /** Remaining cold-start time of the endpoint, in milliseconds. */
     static final String COLD_MS = "X-Jujuberouter-Cold-Ms";
 
+    /** Present with the value 1 if the endpoint is shutting down and takes no new requests. */
+    static final String LEAVING = "Server-Leaving";
+
     /** Id of the last stream event that the sender has received. */
     static final String LAST_EVENT_ID = "Last-Event-Id";
 
--- a/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
+++ b/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
@@ -75,6 +75,7 @@
 
     private final String id;
     private final AtomicInteger crashes = new AtomicInteger();
+    private final AtomicInteger requests = new AtomicInteger();
     private final InetSocketAddress address;
     private volatile HttpServer server;
     private volatile boolean closed;
@@ -88,6 +89,7 @@
     private final long eventGapMs;
     private volatile Behaviour behaviour = Behaviour.ANSWER;
     private final Map<String, Long> orderDelaysMs = new ConcurrentHashMap<>();
+    private final Map<String, String> callHeaders = new ConcurrentHashMap<>();
     private volatile boolean memoryFree = true;
 
     private EngineStandin(String id, HttpServer server, long eventGapMs) {
@@ -125,6 +127,16 @@
         return address.getPort();
     }
 
+    /** Returns the number of calls that it received, run or not. */
+    public int requests() {
+        return requests.get();
+    }
+
+    /** Adds a header to the responses to calls. */
+    public void setCallHeader(String name, String value) {
+        callHeaders.put(name, value);
+    }
+
     /** Returns the ids of the requests that were run, in order. */
     public List<String> runs() {
         return List.copyOf(runs);
@@ -241,6 +253,8 @@
             reply(exchange, 200, report());
             return;
         }
+        requests.incrementAndGet();
+        callHeaders.forEach(responseHeaders::set);
         // A request without an id may come from a client that was meant for another process.
         if (attempt == null || behaviour == Behaviour.REFUSE) {
             responseHeaders.set("X-Jujuberouter-Not-Executed", "1");
