--- a/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
+++ b/src/test/java/org/jujuberouter/ModuleBoundariesTest.java
@@ -44,6 +44,7 @@
             Map.entry("admission", Set.of()),
             Map.entry("routing", Set.of()),
             Map.entry("limits", Set.of()),
+            Map.entry("configcheck", Set.of("catalog")),
             Map.entry("dispatch", Set.of("catalog")),
             Map.entry("duty", Set.of()),
             Map.entry("memory", Set.of()),
