--- a/src/main/java/org/jujuberouter/cli/OperatorCommands.java
+++ b/src/main/java/org/jujuberouter/cli/OperatorCommands.java
@@ -16,6 +16,7 @@
                         new CustomerCommand(),
                         new DomainCommand(),
                         new EndpointCommand(),
+                        new CheckConfigCommand(),
                         new StandinCommand())
                 .forEach(root::addSubcommand);
         CommandLine completion = new CommandLine(new AutoComplete.GenerateCompletion());
