List the differences of a configuration from the version in force

Removing an entry by mistake is valid, so the check of the document alone cannot find it. With --in-force FILE, check-config compares the decoded entries: routes by host and prefix, services, customers, keys and limits. Differences are notes. Warnings name the risks: a service that loses its last route, a customer that loses its last key, calls that need no key any more, an unchanged version. An older version is an error, since instances ignore it.

--- a/src/main/java/org/jujuberouter/cli/CheckConfigCommand.java
+++ b/src/main/java/org/jujuberouter/cli/CheckConfigCommand.java
@@ -41,6 +41,12 @@
     @Parameters(paramLabel = "FILE", description = "The configuration, a JSON document.")
     private Path file;
 
+    @Option(
+            names = "--in-force",
+            paramLabel = "FILE",
+            description = "The version in force; the differences from it are listed.")
+    private Path inForceFile;
+
     @Option(names = "--json", description = "Print the findings as JSON.")
     private boolean json;
 
@@ -48,7 +54,10 @@
     public Integer call() throws JsonProcessingException {
         List<Finding> findings;
         try {
-            findings = ConfigurationChecks.run(read(file));
+            CheckedConfiguration configuration = read(file);
+            findings = inForceFile == null
+                    ? ConfigurationChecks.run(configuration)
+                    : ConfigurationChecks.run(configuration, read(inForceFile));
         } catch (CannotCheckException e) {
             return fail(e.getMessage());
         }
--- a/src/main/java/org/jujuberouter/configcheck/ConfigurationChecks.java
+++ b/src/main/java/org/jujuberouter/configcheck/ConfigurationChecks.java
@@ -15,8 +15,26 @@
 
     /** Returns the findings without duplicates, the most severe first. */
     public static List<Finding> run(CheckedConfiguration configuration) {
+        return run(configuration, CHECKS);
+    }
+
+    /** Returns the findings and the differences from the version in force, in the same order. */
+    public static List<Finding> run(CheckedConfiguration configuration, CheckedConfiguration inForce) {
+        List<Check> checks = new ArrayList<>(List.of(
+                new VersionComparison(inForce),
+                new LostRoutesCheck(inForce),
+                new LostKeysCheck(inForce),
+                new RouteComparison(inForce),
+                new ServiceComparison(inForce),
+                new CustomerComparison(inForce),
+                new LimitsComparison(inForce)));
+        checks.addAll(0, CHECKS);
+        return run(configuration, checks);
+    }
+
+    private static List<Finding> run(CheckedConfiguration configuration, List<Check> checks) {
         Set<Finding> findings = new LinkedHashSet<>(configuration.findings());
-        CHECKS.forEach(check -> check.run(configuration, findings::add));
+        checks.forEach(check -> check.run(configuration, findings::add));
         List<Finding> sorted = new ArrayList<>(findings);
         sorted.sort(Comparator.comparing(Finding::severity));
         return sorted;
--- a/src/main/java/org/jujuberouter/configcheck/DeclaredCustomer.java
+++ b/src/main/java/org/jujuberouter/configcheck/DeclaredCustomer.java
@@ -14,4 +14,9 @@
     public DeclaredCustomer {
         keys = List.copyOf(keys);
     }
+
+    /** Returns whether a call can carry one of the keys; white space around the key of a call is removed. */
+    boolean hasUsableKey() {
+        return keys.stream().anyMatch(k -> !k.isBlank() && k.equals(k.strip()));
+    }
 }
--- a/src/test/java/org/jujuberouter/cli/CheckConfigCommandTest.java
+++ b/src/test/java/org/jujuberouter/cli/CheckConfigCommandTest.java
@@ -103,6 +103,17 @@
         assertTrue(out.length() < 1_000, out);
     }
 
+    @Test
+    void comparesWithTheVersionInForce() throws IOException {
+        Path inForce = Files.writeString(directory.resolve("in-force.json"), VALID);
+        String next = VALID.replace("\"Version\":7", "\"Version\":8").replace("/post/", "/send/");
+        assertEquals(0, check(next, "--in-force", inForce.toString()));
+        assertTrue(out.startsWith("note /Routes/0: route added; found: h/send/\n"), out);
+        assertEquals(1, check(VALID, "--in-force", inForce.toString()));
+        assertEquals(2, check(VALID, "--in-force", directory.resolve("missing").toString()));
+        assertTrue(err.contains("missing: the file cannot be read"), err);
+    }
+
     private void assertCannotCheck(String reason, String document) throws IOException {
         assertEquals(2, check(document), document.substring(0, Math.min(100, document.length())));
         assertTrue(err.contains(reason), err);
