Find entries of a configuration that never take effect

A second route with the same host and prefix, a service that no route reaches, a weight of 0 and a customer that can make no call are valid, so instances load them, but they are hardly meant. check-config warns of them. Prefixes cover each other only if they are equal, since the longest one matches.

The checks of a lost last route and a lost last key become part of those for unreached services and customers without a key, so that each entry has one finding.

--- a/src/main/java/org/jujuberouter/configcheck/CheckedConfiguration.java
+++ b/src/main/java/org/jujuberouter/configcheck/CheckedConfiguration.java
@@ -18,7 +18,7 @@
  * @param customers the customers that can be read
  * @param keysRequired whether calls need an API key
  * @param limits the limits on requests
- * @param complete whether every entry can be read
+ * @param complete whether every entry and the list of routes can be read
  * @param findings what the decoder found
  */
 public record CheckedConfiguration(
--- a/src/main/java/org/jujuberouter/configcheck/EffectiveRoutes.java
+++ b/src/main/java/org/jujuberouter/configcheck/EffectiveRoutes.java
@@ -45,7 +45,7 @@
         for (Located<Route> route : byKey.values()) {
             Collection<Route.WeightedService> targets = route.value().targets();
             boolean allZero = targets.stream().allMatch(t -> t.weight() == 0);
-            targets.stream().filter(t -> allZero || t.weight() > 0).forEach(t -> reached.add(t.service()));
+            targets.stream().filter(t -> allZero || t.weight() != 0).forEach(t -> reached.add(t.service()));
         }
         return reached;
     }
--- a/src/main/java/org/jujuberouter/configcheck/LostRoutesCheck.java
+++ b/src/main/java/org/jujuberouter/configcheck/UnreachedServicesCheck.java
@@ -1,15 +1,16 @@
 package org.jujuberouter.configcheck;
 
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.jujuberouter.catalog.ServiceSpec;
 import org.jujuberouter.id.ServiceName;
 
-/** Finds services whose last route the document takes away. */
-final class LostRoutesCheck implements Check {
-    private final CheckedConfiguration inForce;
+/** Finds services that no route reaches, and names those that a route of the version in force reaches. */
+final class UnreachedServicesCheck implements Check {
+    private final Optional<CheckedConfiguration> inForce;
 
-    LostRoutesCheck(CheckedConfiguration inForce) {
+    UnreachedServicesCheck(Optional<CheckedConfiguration> inForce) {
         this.inForce = inForce;
     }
 
@@ -19,13 +20,17 @@
         if (!configuration.complete()) {
             return;
         }
-        Set<ServiceName> before = EffectiveRoutes.of(inForce).reachedServices();
+        Set<ServiceName> before =
+                inForce.map(c -> EffectiveRoutes.of(c).reachedServices()).orElse(Set.of());
         Set<ServiceName> after = EffectiveRoutes.of(configuration).reachedServices();
         for (Located<ServiceSpec> service : configuration.services()) {
             ServiceName name = service.value().name();
-            if (before.contains(name) && !after.contains(name)) {
+            if (!after.contains(name)) {
                 findings.accept(Finding.warning(
-                        service.location().path(), name.value(), "", "the service loses its last route"));
+                        service.location().path(),
+                        name.value(),
+                        "",
+                        before.contains(name) ? "the service loses its last route" : "no route reaches the service"));
             }
         }
     }
--- a/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
@@ -136,7 +136,7 @@
                 decoder.customers,
                 decoder.keysRequired(),
                 limits,
-                decoder.unreadable.isEmpty(),
+                decoder.unreadable.isEmpty() && config.path("Routes").isArray(),
                 findings);
     }
 
