Find limits of a configuration that contradict each other

A timeout below its objective, a gap objective above the timeout, an objective below what an idle engine needs for 1,000 tokens, a body limit below such a prompt and a cold limit below one call per second are valid, but no call or hardly any can meet them. check-config warns of them. A check leaves out entries in which the decoder found an error, since it would report the same mistake again.

Attempts above the number of engines are not checked: Max of Scaling counts engines per failure domain, and the document does not list all domains.

--- a/src/main/java/org/jujuberouter/configcheck/ConfigurationChecks.java
+++ b/src/main/java/org/jujuberouter/configcheck/ConfigurationChecks.java
@@ -15,7 +15,11 @@
             new TargetsCheck(),
             new PrefixCheck(),
             new CoveredRoutesCheck(),
-            new ZeroWeightCheck());
+            new ZeroWeightCheck(),
+            new TimeoutsCheck(),
+            new CostModelCheck(),
+            new BodyLimitCheck(),
+            new ColdLimitCheck());
 
     private ConfigurationChecks() {}
 
--- a/src/main/java/org/jujuberouter/configcheck/KeylessCustomersCheck.java
+++ b/src/main/java/org/jujuberouter/configcheck/KeylessCustomersCheck.java
@@ -21,8 +21,7 @@
         inForce.ifPresent(c -> c.customers().stream()
                 .filter(declared -> declared.value().hasUsableKey())
                 .forEach(declared -> withKey.add(declared.value().customer().id())));
-        Set<String> reported = new HashSet<>();
-        configuration.findings().forEach(f -> reported.add(f.path()));
+        DecodingErrors errors = DecodingErrors.of(configuration);
         // A route that cannot be read may be public.
         boolean keysOnly = configuration.complete()
                 && configuration.routes().stream().map(Located::value).noneMatch(Route::publicAccess);
@@ -31,7 +30,7 @@
             CustomerId id = customer.value().customer().id();
             if (!customer.value().hasUsableKey() && withKey.contains(id)) {
                 findings.accept(Finding.warning(path, id.value(), "", "the customer loses its last key"));
-            } else if (customer.value().keys().isEmpty() && keysOnly && !reported.contains(path)) {
+            } else if (customer.value().keys().isEmpty() && keysOnly && !errors.contains(path)) {
                 findings.accept(Finding.warning(
                         path,
                         id.value(),
--- a/src/main/java/org/jujuberouter/configcheck/VersionComparison.java
+++ b/src/main/java/org/jujuberouter/configcheck/VersionComparison.java
@@ -13,8 +13,7 @@
     @Override
     public void run(CheckedConfiguration configuration, Consumer<Finding> findings) {
         String path = configuration.root().path(ConfigurationField.VERSION);
-        boolean unknown =
-                configuration.findings().stream().anyMatch(f -> f.path().equals(path));
+        boolean unknown = DecodingErrors.of(configuration).contains(path);
         if (unknown || configuration.version() > inForce.version()) {
             return;
         }
--- a/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
@@ -47,6 +47,7 @@
     private static final int MAX_INT = Integer.MAX_VALUE;
 
     private static final Set<String> ROOT_FIELDS = Set.of("Version", "Routes", "Services", "Tenants", "Limits");
+    /** Includes a field of the platform that instances do not read: whether calls of a session go to one endpoint. */
     private static final Set<String> ROUTE_FIELDS = Set.of(
             "Name",
             "Host",
@@ -60,7 +61,9 @@
             "Service",
             "Backends",
             "MaxAttempts",
-            "Public");
+            "Public",
+            "SessionAffinity");
+
     private static final Set<String> TARGET_FIELDS = Set.of("Service", "Weight");
 
     /** Includes fields of the platform that instances do not read: protocol, encryption and length of the cold start. */
