--- a/src/main/java/org/jujuberouter/cli/CheckConfigCommand.java
+++ b/src/main/java/org/jujuberouter/cli/CheckConfigCommand.java
@@ -60,6 +60,9 @@
                     : ConfigurationChecks.run(configuration, read(inForceFile));
         } catch (CannotCheckException e) {
             return fail(e.getMessage());
+        } catch (OutOfMemoryError e) {
+            // The exit code of an uncaught error would mean findings.
+            return fail("there is not enough memory to check the document");
         }
         print(findings);
         return findings.stream().allMatch(f -> f.severity() == Severity.NOTE) ? ExitCodes.SUCCESS : FINDINGS;
@@ -69,18 +72,22 @@
         try (InputStream in = Files.newInputStream(file)) {
             return ConfigurationReader.read(in.readNBytes(ConfigurationReader.MAX_BYTES + 1));
         } catch (UnreadableDocumentException e) {
-            throw new CannotCheckException(file + ": " + e.getMessage());
+            throw new CannotCheckException(printable(file, e.getMessage()));
         } catch (IOException e) {
-            throw new CannotCheckException(file + ": the file cannot be read: " + e);
+            throw new CannotCheckException(printable(file, "the file cannot be read: " + e));
         }
     }
 
+    private static String printable(Path file, String reason) {
+        return FindingFormatter.printable(file.toString()) + ": " + FindingFormatter.printable(reason);
+    }
+
     private int fail(String reason) throws JsonProcessingException {
         if (json) {
             printLine(StoreCommand.JSON.writeValueAsString(Map.of("error", reason)));
         } else {
             PrintWriter err = spec.commandLine().getErr();
-            err.println(FindingFormatter.printable(reason));
+            err.println(reason);
             err.flush();
         }
         return CANNOT_CHECK;
--- a/src/main/java/org/jujuberouter/platform/ConfigurationReader.java
+++ b/src/main/java/org/jujuberouter/platform/ConfigurationReader.java
@@ -85,8 +85,12 @@
     /** Returns the parser's message, without a quoted part of the document, which may hold an API key. */
     private static String reason(JsonProcessingException e) {
         String message = String.valueOf(e.getOriginalMessage());
-        return message.startsWith("Unrecognized token")
-                ? "unrecognized token"
-                : message.lines().findFirst().orElse("not JSON");
+        if (message.startsWith("Unrecognized token")) {
+            return "unrecognized token";
+        }
+        // The place where an open object or list starts is given with the source, which is not a file for the parser.
+        String firstLine = message.lines().findFirst().orElse("not JSON");
+        int start = firstLine.indexOf(" (start marker at ");
+        return start < 0 ? firstLine : firstLine.substring(0, start);
     }
 }
--- a/src/test/java/org/jujuberouter/cli/CheckConfigCommandTest.java
+++ b/src/test/java/org/jujuberouter/cli/CheckConfigCommandTest.java
@@ -68,6 +68,7 @@
         assertCannotCheck("line 1, column 1: the document is not a JSON object", "[]");
         assertCannotCheck("line 1, column 1: No content", "");
         assertCannotCheck("line 1, column ", "{\"Version\":");
+        assertFalse(err.contains("Source"), err);
         assertCannotCheck("line 3", "{\"Version\":1,\n\"Routes\":[\n}");
         assertCannotCheck("line 2, column ", "{\"Version\":1}\n{}");
         assertCannotCheck("Duplicate field 'Version'", "{\"Version\":1,\"Version\":2}");
