--- a/src/main/java/org/jujuberouter/platform/EntryReader.java
+++ b/src/main/java/org/jujuberouter/platform/EntryReader.java
@@ -163,7 +163,7 @@
 
     private void checkWhole(String name, long min, long max) {
         JsonNode value = entry.path(name);
-        if (!isPresent(value)) {
+        if (findings == DISCARD || !isPresent(value)) {
             return;
         }
         String bound = "a whole number from " + min + (max == Long.MAX_VALUE ? "" : " to " + max);
@@ -179,7 +179,7 @@
 
     double number(String name, double ifAbsent, long min) {
         JsonNode value = entry.path(name);
-        if (isPresent(value)) {
+        if (findings != DISCARD && isPresent(value)) {
             String bound = "a number from " + min;
             if (!value.isNumber()) {
                 wrongType(path(name), value, bound);
