--- a/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
@@ -71,6 +71,8 @@
             "Name", "HealthCheck", "MaxConnections", "ColdPerS", "Engine", "Scaling", "Protocol", "Tls", "ColdStartS");
 
     private static final Set<String> SCALING_FIELDS = Set.of("Min", "Max", "BootTimeS");
+
+    /** Includes fields of the platform that instances do not read: models, links between engines, times of reports. */
     private static final Set<String> ENGINE_FIELDS = Set.of(
             "Slots",
             "KvCapacityTokens",
@@ -82,7 +84,16 @@
             "pairs_per_m",
             "chunk",
             "delays",
-            "transfer_cost_per_mb");
+            "transfer_cost_per_mb",
+            "HopMs",
+            "KvTokenBytes",
+            "LinkMbps",
+            "LoadsPerS",
+            "Models",
+            "loads_at_once",
+            "report_lag_ms",
+            "usual");
+
     private static final Set<String> DELAY_FIELDS = Set.of("Source", "TargetVersion", "delay_ms");
     private static final Set<String> CUSTOMER_FIELDS = Set.of("Name", "ApiKeys", "Priority");
     private static final Set<String> LIMIT_FIELDS =
