Bound the memory of all request bodies of an instance

Cause: the body of each request was bounded by MaxBodyBytes, but nothing bounded their total.

RequestBody copies what it receives into blocks that the budget counts until the last reference is released, so calls return their memory however they end. A body of known length is reserved before it is read. One that does not fit is refused with 503, Retry-After and Connection: close; its rest is read and dropped, since a reset could take the response with it. A body that could never fit gets 413. Requests pipelined behind a call count too. The codec sends a reference to the body in place of a copy, and the fingerprint of a call reads it without merging it.

--- a/src/main/java/org/jujuberouter/gateway/CallCodec.java
+++ b/src/main/java/org/jujuberouter/gateway/CallCodec.java
@@ -18,7 +18,7 @@
     /** Parses the head of a caller's request. */
     RequestHead read(HttpRequest head) throws MalformedRequestException;
 
-    /** Builds the request to send to an endpoint; the body is copied. */
+    /** Builds the request to send to an endpoint; it holds a reference to the body, which must not change. */
     FullHttpRequest write(HttpRequest head, ByteBuf body, Attempt attempt);
 
     /** Parses the head of an endpoint's response. */
--- a/src/main/java/org/jujuberouter/gateway/CallTraits.java
+++ b/src/main/java/org/jujuberouter/gateway/CallTraits.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -76,7 +77,9 @@
             MessageDigest digest = MessageDigest.getInstance("SHA-256");
             digest.update(String.join("\n", customer, head.method().name(), head.uri(), "")
                     .getBytes(StandardCharsets.UTF_8));
-            digest.update(body.nioBuffer());
+            for (ByteBuffer piece : body.nioBuffers()) {
+                digest.update(piece);
+            }
             return Fingerprint.of(HexFormat.of().formatHex(digest.digest(), 0, FINGERPRINT_BYTES));
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException("SHA-256 is missing from this JDK", e);
--- a/src/main/java/org/jujuberouter/gateway/CallerConnection.java
+++ b/src/main/java/org/jujuberouter/gateway/CallerConnection.java
@@ -1,8 +1,8 @@
 package org.jujuberouter.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -25,33 +25,53 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.jujuberouter.catalog.CallerLimits;
+import org.jujuberouter.catalog.RequestHead;
+import org.jujuberouter.error.ExecutionOutcome;
 
 /**
  * One connection of a caller: buffers one complete request at a time and writes its response.
  *
  * <p>Reading continues while a call runs, so that a disconnect of the caller is detected at once. A truncated response
  * is ended by closing the connection, never by the final chunk of a complete one.
+ *
+ * <p>A body that does not fit into the budget of the instance is refused before it is read if its length is known. The
+ * rest of it is read and dropped, because closing a connection with unread bytes resets it, and the caller could then
+ * lose the response.
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
     private static final int MAX_PIPELINED_PARTS = 64;
+
+    /** An instance that holds many large prompts ends one every few hundred milliseconds. */
+    private static final long RETRY_AFTER_MS = 500;
+
+    /** Range of a random addition, so that callers refused together do not return together. */
+    private static final long RETRY_SPREAD_MS = 500;
+
     private static final FullHttpResponse CONTINUE =
             new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER);
 
     private final Gateway gateway;
+    private final BodyBudget bodies;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
+    private final BodyBudget.Account pipelinedBytes;
     private ChannelHandlerContext context;
     private HttpRequest head;
-    private CompositeByteBuf body;
+    private RequestBody body;
     private Exchange exchange;
     private boolean keepAlive = true;
     private boolean discarding;
+    private Optional<ChannelFuture> refusalWritten = Optional.empty();
     private ScheduledFuture<?> timer;
     private long idleSinceNanos;
 
-    CallerConnection(Gateway gateway) {
+    CallerConnection(Gateway gateway, BodyBudget bodies) {
         this.gateway = gateway;
+        this.bodies = bodies;
+        this.pipelinedBytes = bodies.open();
     }
 
     @Override
@@ -65,8 +85,7 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         stopTimer();
         releaseRequest();
-        pipelined.forEach(ReferenceCountUtil::release);
-        pipelined.clear();
+        releasePipelined();
         gateway.closed(this);
         if (exchange != null) {
             Exchange cancelled = exchange;
@@ -94,18 +113,56 @@
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         HttpObject part = (HttpObject) message;
         if (exchange != null) {
-            pipelined.add(part);
-            if (pipelined.size() > MAX_PIPELINED_PARTS) {
-                ctx.channel().config().setAutoRead(false);
-            }
+            queuePipelined(part);
             return;
         }
         handlePart(part);
     }
 
+    /** Queues a part of a later request; if its bytes do not fit, the connection is closed after the response. */
+    private void queuePipelined(HttpObject part) {
+        if (discarding) {
+            ReferenceCountUtil.release(part);
+            return;
+        }
+        HttpObject queued = part;
+        if (part instanceof HttpContent content && content.content().isReadable()) {
+            if (!pipelinedBytes.resize(
+                    pipelinedBytes.bytes() + content.content().readableBytes())) {
+                content.release();
+                discarding = true;
+                keepAlive = false;
+                releasePipelined();
+                return;
+            }
+            queued = content.replace(Unpooled.copiedBuffer(content.content()));
+            content.release();
+        }
+        pipelined.add(queued);
+        if (pipelined.size() > MAX_PIPELINED_PARTS) {
+            context.channel().config().setAutoRead(false);
+        }
+    }
+
+    private void handlePipelined(HttpObject part) {
+        if (part instanceof HttpContent content) {
+            pipelinedBytes.resize(pipelinedBytes.bytes() - content.content().readableBytes());
+        }
+        handlePart(part);
+    }
+
+    private void releasePipelined() {
+        pipelined.forEach(ReferenceCountUtil::release);
+        pipelined.clear();
+        pipelinedBytes.close();
+    }
+
     private void handlePart(HttpObject part) {
         try {
             if (discarding) {
+                if (part instanceof LastHttpContent) {
+                    refusalWritten.ifPresent(f -> f.addListener(ChannelFutureListener.CLOSE));
+                }
                 return;
             }
             if (part.decoderResult().isFailure()) {
@@ -126,13 +183,15 @@
     private void beginRequest(HttpRequest request) {
         CallerLimits limits = gateway.limits();
         head = request;
-        body = Unpooled.compositeBuffer(1024);
+        body = RequestBody.in(bodies);
         keepAlive = HttpUtil.isKeepAlive(request);
         startBodyTimer();
         if (HttpUtil.isContentLengthSet(request) && request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
             rejectAndClose(400, "both Content-Length and Transfer-Encoding");
-        } else if (HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()) {
+        } else if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes(limits)) {
             refuseBody(limits);
+        } else if (!body.reserve(HttpUtil.getContentLength(request, 0L))) {
+            refuseForMemory();
         } else if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(CONTINUE.retainedDuplicate());
         }
@@ -141,11 +200,14 @@
     private void appendBody(HttpContent content) {
         if (content.content().isReadable()) {
             CallerLimits limits = gateway.limits();
-            if (body.readableBytes() + content.content().readableBytes() > limits.maxBodyBytes()) {
+            if (body.readableBytes() + content.content().readableBytes() > maxBodyBytes(limits)) {
                 refuseBody(limits);
                 return;
             }
-            body.addComponent(true, content.content().retain());
+            if (!body.append(content.content())) {
+                refuseForMemory();
+                return;
+            }
             startBodyTimer();
         }
         if (content instanceof LastHttpContent) {
@@ -165,7 +227,33 @@
     }
 
     private void refuseBody(CallerLimits limits) {
-        rejectAndClose(413, "the body is larger than " + limits.maxBodyBytes() + " bytes");
+        rejectAndClose(413, "the body is larger than " + maxBodyBytes(limits) + " bytes");
+    }
+
+    private long maxBodyBytes(CallerLimits limits) {
+        return Math.min(limits.maxBodyBytes(), bodies.maxBodyBytes());
+    }
+
+    /** Refuses a call whose body does not fit into memory now, and closes the connection once its rest has arrived. */
+    private void refuseForMemory() {
+        RequestHead call;
+        try {
+            call = gateway.codec().read(head);
+        } catch (MalformedRequestException e) {
+            rejectAndClose(400, e.getMessage());
+            return;
+        }
+        discarding = true;
+        String reason = "no memory for the body";
+        CallTelemetry telemetry = new CallTelemetry(gateway);
+        telemetry.setCall(call);
+        telemetry.refused(503, reason, ExecutionOutcome.NOT_RUN);
+        long retryAfterMs = RETRY_AFTER_MS + ThreadLocalRandom.current().nextLong(RETRY_SPREAD_MS);
+        FullHttpResponse response = gateway.refusal(503, reason, Optional.of(call.id()), retryAfterMs);
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        releaseRequest();
+        refusalWritten = Optional.of(context.writeAndFlush(response));
+        startIdleTimer();
     }
 
     private void refuseMalformed(Throwable cause) {
@@ -177,7 +265,7 @@
     private void rejectAndClose(int status, String reason) {
         discarding = true;
         gateway.rejected(status, reason);
-        FullHttpResponse response = gateway.refusal(status, reason, java.util.Optional.empty(), -1);
+        FullHttpResponse response = gateway.refusal(status, reason, Optional.empty(), -1);
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         releaseRequest();
         stopTimer();
@@ -246,14 +334,14 @@
 
     private void responseWritten(boolean close) {
         exchange = null;
-        if (close) {
+        if (close || discarding) {
             context.close();
             return;
         }
         startIdleTimer();
         context.channel().config().setAutoRead(true);
         while (exchange == null && !pipelined.isEmpty()) {
-            handlePart(pipelined.poll());
+            handlePipelined(pipelined.poll());
         }
     }
 
--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -77,6 +77,11 @@
 
     /** Starts an instance. */
     public static GatewayDaemon start(GatewayOptions options, PlatformAdapter platform) throws IOException {
+        return start(options, platform, BodyBudget.ofHeap());
+    }
+
+    /** Starts an instance with a budget for the bodies of its requests. */
+    static GatewayDaemon start(GatewayOptions options, PlatformAdapter platform, BodyBudget bodies) throws IOException {
         useJdkLogging();
         GatewayDaemon daemon = new GatewayDaemon(options, platform);
         StoreWatcher watcher = StoreWatcher.of(daemon.store, daemon.loop, daemon.gateway.ticker(), daemon.gateway);
@@ -102,12 +107,14 @@
         if (options.metrics().isPresent()) {
             daemon.listenForStatus(options.metrics().get(), () -> StatusHandler.metrics(daemon.gateway));
         }
+        daemon.gateway.metrics().gauge("request_body_bytes", bodies::heldBytes);
+        daemon.gateway.metrics().gauge("request_body_bytes_limit", bodies::limitBytes);
         daemon.listen(
                 options.callers(),
                 ch -> ch.pipeline()
                         .addLast(new HttpServerCodec(
                                 MAX_LINE_BYTES, daemon.gateway.limits().maxHeaderBytes(), MAX_CHUNK_BYTES))
-                        .addLast(new CallerConnection(daemon.gateway)));
+                        .addLast(new CallerConnection(daemon.gateway, bodies)));
         return daemon;
     }
 
--- a/src/main/java/org/jujuberouter/platform/PlatformCallCodec.java
+++ b/src/main/java/org/jujuberouter/platform/PlatformCallCodec.java
@@ -1,7 +1,6 @@
 package org.jujuberouter.platform;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -74,8 +73,8 @@
 
     @Override
     public FullHttpRequest write(HttpRequest head, ByteBuf body, Attempt attempt) {
-        FullHttpRequest out = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1, head.method(), head.uri(), Unpooled.copiedBuffer(body));
+        FullHttpRequest out =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), body.retainedDuplicate());
         HttpHeaders h = out.headers();
         h.set(head.headers());
         removeHopByHopHeaders(h, head.headers().getAll(HttpHeaderNames.CONNECTION));
--- a/src/test/java/org/jujuberouter/process/ChildProcess.java
+++ b/src/test/java/org/jujuberouter/process/ChildProcess.java
@@ -36,11 +36,20 @@
 
     /** Starts a subcommand that reports no address, with standard output and error redirected to the file. */
     public static ChildProcess startWithOutputFile(Path output, String... arguments) throws IOException {
-        Process process = new ProcessBuilder(command(arguments))
-                .redirectErrorStream(true)
-                .redirectOutput(output.toFile())
-                .start();
-        return new ChildProcess(process, "");
+        return startWithHeap("", output, arguments);
+    }
+
+    /** Starts a subcommand as {@link #startWithOutputFile} does, with an option of the JVM such as {@code -Xmx64m}. */
+    static ChildProcess startWithHeap(String javaOption, Path output, String... arguments) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(command(arguments));
+        if (!javaOption.isEmpty()) {
+            builder.environment().put("JUJUBEROUTER_JAVA_OPTS", javaOption);
+        }
+        return new ChildProcess(
+                builder.redirectErrorStream(true)
+                        .redirectOutput(output.toFile())
+                        .start(),
+                "");
     }
 
     private static List<String> command(String... arguments) {
