End the process when its event loop or its heap is lost

Cause: Netty catches every throwable of tasks, listeners and handlers and goes on, the handlers of connections closed them, and the failures of scheduled tasks and of writes were kept in futures that nobody reads. An error outside of all of these ended the only event loop, while the main thread waited for a signal. In each case the process stayed alive without serving, so the platform did not start it again.

Change: FatalErrors is told of every OutOfMemoryError or other VirtualMachineError by the handlers of all connections, by the event loop for its scheduled tasks and its own unexpected end, by what Netty logs, and by the handler of uncaught errors. FatalExit logs the reason and halts the process with exit code 70; a thread created in advance does so after 500 ms if the log is blocked or there is no memory for it. Log handlers drop lines below the level themselves, since the level of Netty's logger is fixed at WARNING now.

--- a/src/main/java/org/jujuberouter/cli/LogSetup.java
+++ b/src/main/java/org/jujuberouter/cli/LogSetup.java
@@ -69,7 +69,8 @@
         for (Handler previous : root.getHandlers()) {
             root.removeHandler(previous);
         }
-        handler.setLevel(Level.ALL);
+        // Loggers of libraries may have a lower level of their own.
+        handler.setLevel(level.julLevel);
         root.addHandler(handler);
         // Libraries log at INFO at most, even if the loggers of this project log at DEBUG.
         root.setLevel(level == LogLevel.DEBUG ? Level.INFO : level.julLevel);
--- a/src/main/java/org/jujuberouter/cli/ServeCommand.java
+++ b/src/main/java/org/jujuberouter/cli/ServeCommand.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
 import org.jujuberouter.dispatch.DomainMode;
 import org.jujuberouter.gateway.GatewayDaemon;
 import org.jujuberouter.gateway.GatewayOptions;
@@ -24,7 +23,11 @@
             "Runs one instance on the users' platform.",
             "SIGTERM stops it gracefully. SIGHUP makes it read and check its settings file."
         },
-        exitCodeList = {"0: stopped on request", "1: the settings cannot be read or an address cannot be bound"})
+        exitCodeList = {
+            "0: stopped on request",
+            "1: the settings cannot be read or an address cannot be bound",
+            "3, 70: the heap or the event loop is lost"
+        })
 public final class ServeCommand implements Callable<Integer> {
     static final String NAME = "serve";
 
@@ -93,6 +96,7 @@
                 Map.entry("fair_sharing", options.features().fairSharing()),
                 Map.entry("autoscaling", options.features().autoscaling()),
                 Map.entry("bounds", options.bounds()));
+        FatalExit exit = FatalExit.install(log);
         // Signals may arrive as soon as callers can connect, so the handlers are installed first.
         SighupHandler.setAction(() -> rereadSettings(file, options));
         CompletableFuture<GatewayDaemon> daemon = new CompletableFuture<>();
@@ -113,8 +117,8 @@
             // System.exit would run the shutdown hook, which would wait forever for the daemon that failed to start.
             Runtime.getRuntime().halt(1);
         }
-        new CountDownLatch(1).await();
-        return 0;
+        exit.logAndHaltOnFailure();
+        return FatalExit.EXIT_CODE;
     }
 
     private GatewayOptions applyEnvironment(GatewayOptions nodeOptions) throws IOException {
--- a/src/main/java/org/jujuberouter/gateway/CallerConnection.java
+++ b/src/main/java/org/jujuberouter/gateway/CallerConnection.java
@@ -31,6 +31,7 @@
 import org.jujuberouter.catalog.CallerLimits;
 import org.jujuberouter.catalog.RequestHead;
 import org.jujuberouter.error.ExecutionOutcome;
+import org.jujuberouter.misc.FatalErrors;
 
 /**
  * One connection of a caller: buffers one complete request at a time and writes its response.
@@ -103,6 +104,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        FatalErrors.report(cause);
         if (!(cause instanceof java.io.IOException)) {
             gateway.log().fault("unhandled exception on a caller connection", cause);
         }
--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -6,8 +6,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -28,6 +26,7 @@
 import org.jujuberouter.control.LeaseReply;
 import org.jujuberouter.control.StoreWatcher;
 import org.jujuberouter.dispatch.StopSchedule;
+import org.jujuberouter.misc.FatalErrorReporter;
 import org.jujuberouter.misc.HeapReceiveBuffers;
 import org.jujuberouter.telemetry.LogRateLimiter;
 
@@ -49,7 +48,7 @@
     private static final long DEREGISTER_TIMEOUT_MS = 150;
 
     private final GatewayOptions options;
-    private final MultiThreadIoEventLoopGroup group;
+    private final ReportingEventLoops group;
     private final EventLoop loop;
     private final Gateway gateway;
     private final ControlStore store;
@@ -61,7 +60,7 @@
 
     private GatewayDaemon(GatewayOptions options, PlatformAdapter platform) {
         this.options = options;
-        this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        this.group = ReportingEventLoops.single();
         this.loop = group.next();
         this.gateway = new Gateway(options, loop, platform.codec(), platform.reservations(loop), platform.probe(loop));
         this.store = platform.store(loop, options.store());
@@ -114,6 +113,7 @@
                 ch -> ch.pipeline()
                         .addLast(new HttpServerCodec(
                                 MAX_LINE_BYTES, daemon.gateway.limits().maxHeaderBytes(), MAX_CHUNK_BYTES))
+                        .addLast(FatalErrorReporter.instance())
                         .addLast(new CallerConnection(daemon.gateway, bodies)));
         return daemon;
     }
@@ -138,6 +138,7 @@
                 ch -> ch.pipeline()
                         .addLast(new HttpServerCodec())
                         .addLast(new HttpObjectAggregator(MAX_CHUNK_BYTES))
+                        .addLast(FatalErrorReporter.instance())
                         .addLast(handler.get()));
     }
 
--- a/src/main/java/org/jujuberouter/gateway/StatusHandler.java
+++ b/src/main/java/org/jujuberouter/gateway/StatusHandler.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Supplier;
+import org.jujuberouter.misc.FatalErrors;
 import org.jujuberouter.telemetry.LabelledMetrics;
 
 /** Serves readiness or metrics of this instance; the method and path of the request are ignored. */
@@ -53,6 +54,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        FatalErrors.report(cause);
         if (!(cause instanceof java.io.IOException)) {
             gateway.log().fault("unhandled exception on a readiness or metrics connection", cause);
         }
--- a/src/main/java/org/jujuberouter/http/ClientCall.java
+++ b/src/main/java/org/jujuberouter/http/ClientCall.java
@@ -15,6 +15,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import org.jujuberouter.misc.FatalErrorReporter;
+import org.jujuberouter.misc.FatalErrors;
 
 /**
  * A single request on a dedicated connection.
@@ -65,6 +67,7 @@
         ch.pipeline()
                 .addLast(new InputEndRecorder())
                 .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                .addLast(FatalErrorReporter.instance())
                 .addLast(new Handler());
     }
 
@@ -184,6 +187,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            FatalErrors.report(cause);
             fail(CallFailure.Kind.RESET, String.valueOf(cause.getMessage()));
         }
 
--- a/src/main/java/org/jujuberouter/http/JsonClient.java
+++ b/src/main/java/org/jujuberouter/http/JsonClient.java
@@ -30,6 +30,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.jujuberouter.misc.FatalErrorReporter;
+import org.jujuberouter.misc.FatalErrors;
 import org.jujuberouter.misc.Json;
 
 /**
@@ -146,6 +148,7 @@
                 ch -> ch.pipeline()
                         .addLast(new HttpClientCodec())
                         .addLast(new HttpObjectAggregator(maxResponseBytes))
+                        .addLast(FatalErrorReporter.instance())
                         .addLast(new Handler()));
         connecting.addListener((ChannelFutureListener) f -> {
             if (current != call) {
@@ -251,6 +254,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            FatalErrors.report(cause);
             onConnectionLost(ctx, String.valueOf(cause.getMessage()));
         }
 
--- a/src/main/java/org/jujuberouter/peer/PeerConnection.java
+++ b/src/main/java/org/jujuberouter/peer/PeerConnection.java
@@ -21,6 +21,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.jujuberouter.id.Incarnation;
+import org.jujuberouter.misc.FatalErrorReporter;
+import org.jujuberouter.misc.FatalErrors;
 import org.jujuberouter.misc.Ticker;
 import org.jujuberouter.peer.PeerException.Kind;
 import org.jujuberouter.peer.PeerMessage.Hello;
@@ -101,7 +103,7 @@
             Executor listenerExecutor,
             PeerTraffic traffic) {
         PeerConnection connection = new PeerConnection(channel, network, ticker, listener, listenerExecutor, traffic);
-        channel.pipeline().addLast(connection.new FrameReader());
+        channel.pipeline().addLast(FatalErrorReporter.instance(), connection.new FrameReader());
         return connection;
     }
 
@@ -388,6 +390,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            FatalErrors.report(cause);
             Throwable failure =
                     cause instanceof DecoderException && cause.getCause() != null ? cause.getCause() : cause;
             if (failure instanceof RuntimeException) {
--- a/src/test/java/org/jujuberouter/process/LostHeapTest.java
+++ b/src/test/java/org/jujuberouter/process/LostHeapTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -96,4 +97,48 @@
             }
         }
     }
+
+    /** The heads of 1,500 requests that do not end are more than the heap; they are no bodies, so no budget holds. */
+    @Test
+    void exitsWithinASecondOfTheLossOfItsHeap() throws Exception {
+        Path node = directory.resolve("node.json");
+        Path output = directory.resolve("output");
+        List<Socket> sockets = new ArrayList<>();
+        try (StandinSite site = StandinSite.start(1, 1, 1);
+                HttpClient client = HttpClient.newBuilder()
+                        .version(HttpClient.Version.HTTP_1_1)
+                        .build()) {
+            int port = site.writeNodeFile(node, "one").getPort();
+            try (ChildProcess process =
+                    ChildProcess.startWithHeap("-Xmx16m", output, "serve", "--node-file", node.toString())) {
+                awaitServing(client, port);
+                String head = "GET /read/x HTTP/1.1\r\nHost: " + StandinSite.HOST + "\r\nX: ";
+                sendHeads(port, head + "x".repeat(15_500), sockets);
+                long end = System.nanoTime() + Duration.ofSeconds(20).toNanos();
+                while (process.isAlive() && !Files.readString(output).contains("the process exits")) {
+                    assertTrue(System.nanoTime() < end, "alive without a heap:\n" + Files.readString(output));
+                    Thread.sleep(5);
+                }
+                assertEquals(70, process.awaitExit(1), Files.readString(output));
+            } finally {
+                for (Socket s : sockets) {
+                    s.close();
+                }
+            }
+        }
+    }
+
+    private static void sendHeads(int port, String head, List<Socket> sockets) throws IOException {
+        for (int i = 0; i < 1_500; i++) {
+            Socket socket = new Socket();
+            sockets.add(socket);
+            try {
+                socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 200);
+                send(socket, head);
+            } catch (IOException e) {
+                // The instance may have ended, or be collecting garbage.
+                continue;
+            }
+        }
+    }
 }
