Measure the lag of an instance

Nothing showed when an instance itself delayed calls: its event loop or its outgoing link can be slower than the engines behind it.

A timer records how late the event loop runs it, and the writes of large requests to engines give the time per byte of the link. Both are medians of five, so a single freeze or an engine that reads slowly does not count. The gauges are loop_lag_ms, link_lag_ms and request_bytes_unsent. Garbage collection is not measured by itself, since its pauses delay the timer.

InstanceLagTest, GatewayTest, GracefulStopTest, ClientCallTest and ResponseEndTest pass.

--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -261,12 +261,8 @@
         if (thisAttempt.reservation != null) {
             thisAttempt.reservation.requestSent(placement.predictedFirstEventMs());
         }
-        thisAttempt.clientCall = ClientCall.send(
-                gateway.loop(),
-                endpoint.address(),
-                CONNECT_TIMEOUT_MS,
-                gateway.codec().write(head, body, outgoing),
-                thisAttempt);
+        thisAttempt.clientCall = gateway.overload()
+                .send(endpoint.address(), CONNECT_TIMEOUT_MS, gateway.codec().write(head, body, outgoing), thisAttempt);
         if (thisAttempt == attempt) {
             thisAttempt.silence = SilenceCheck.start(
                     gateway.loop(),
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -71,6 +71,7 @@
     private final Ticker ticker = Ticker.system();
     private final GatewayLog log;
     private final GatewayMetrics metrics = new GatewayMetrics();
+    private final InstanceOverload overload;
     private final StoreFreshness storeFreshness;
     private final StoreFreshness viewFreshness;
     private final EndpointRegistry registry = EndpointRegistry.empty(ticker);
@@ -134,14 +135,17 @@
         metrics.gauge("configuration_version", this::configurationVersion);
         metrics.gauge("store_contact_age_ms", storeFreshness::ageMs);
         metrics.gauge("store_view_age_ms", viewFreshness::ageMs);
-        Runtime runtime = Runtime.getRuntime();
-        metrics.gauge("heap_bytes", () -> runtime.totalMemory() - runtime.freeMemory());
+        this.overload = InstanceOverload.start(loop, ticker, metrics);
     }
 
     GatewayMetrics metrics() {
         return metrics;
     }
 
+    InstanceOverload overload() {
+        return overload;
+    }
+
     EventLoop loop() {
         return loop;
     }
--- a/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
@@ -24,6 +24,11 @@
     private final LabelledMetrics metrics = LabelledMetrics.create();
     private FairShare shares;
 
+    GatewayMetrics() {
+        Runtime runtime = Runtime.getRuntime();
+        gauge("heap_bytes", () -> runtime.totalMemory() - runtime.freeMemory());
+    }
+
     /** Counts a finished call; the customer is empty if it was not identified. */
     void ended(String service, String customer, ExecutionOutcome outcome, int status) {
         metrics.count(
--- a/src/main/java/org/jujuberouter/http/ClientCall.java
+++ b/src/main/java/org/jujuberouter/http/ClientCall.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import java.util.function.Consumer;
 
 /**
  * A single request on a dedicated connection.
@@ -36,14 +37,16 @@
     private static final int MAX_SKIPPED_BYTES = 1 << 20;
 
     private final ResponseListener listener;
+    private final RequestWrites writes;
     private Channel channel;
     private boolean finished;
     private boolean connected;
     private boolean requestFailed;
     private boolean inputEnded;
 
-    private ClientCall(ResponseListener listener) {
+    private ClientCall(ResponseListener listener, RequestWrites writes) {
         this.listener = listener;
+        this.writes = writes;
     }
 
     /** Opens a connection and sends the request, which is released afterwards. */
@@ -53,7 +56,18 @@
             int connectTimeoutMs,
             FullHttpRequest request,
             ResponseListener listener) {
-        ClientCall call = new ClientCall(listener);
+        return send(loop, address, connectTimeoutMs, request, listener, _ -> _ -> {});
+    }
+
+    /** Opens a connection and sends the request, which is released afterwards; its write is observed. */
+    public static ClientCall send(
+            EventLoop loop,
+            InetSocketAddress address,
+            int connectTimeoutMs,
+            FullHttpRequest request,
+            ResponseListener listener,
+            RequestWrites writes) {
+        ClientCall call = new ClientCall(listener, writes);
         ChannelFuture connecting = ChannelConnector.connect(loop, address, connectTimeoutMs, call::initialize);
         call.channel = connecting.channel();
         connecting.addListener(f -> call.onConnect(f.isSuccess(), f.cause(), request));
@@ -90,7 +104,11 @@
             fail(CallFailure.Kind.CONNECT, String.valueOf(cause.getMessage()));
         } else {
             connected = true;
-            channel.writeAndFlush(request).addListener(f -> requestFailed = !f.isSuccess());
+            Consumer<Boolean> write = writes.begin(request.content().readableBytes());
+            channel.writeAndFlush(request).addListener(f -> {
+                requestFailed = !f.isSuccess();
+                write.accept(f.isSuccess());
+            });
         }
     }
 
