Reject calls that the lag of the instance alone makes late

An instance whose event loop or link is too slow accepted calls that could not be on time there, though another instance could have served them.

With JUJUBEROUTER_OVERLOAD=on, a call is rejected as not run (503) before it is queued if three waits for the event loop and the time to write its body exceed the latency objective of its route. Retry-After is drawn up to the delay, at most 1 s. While the loop lags by over 20 ms, new calls start after all other events of the same turn, so peers, disconnects and streams go first. Calls that were accepted before are not affected, and the default is off.

--- a/src/main/java/org/jujuberouter/cli/ServeCommand.java
+++ b/src/main/java/org/jujuberouter/cli/ServeCommand.java
@@ -37,6 +37,9 @@
     /** Environment variable that lets the leader order engines or not. */
     private static final String AUTOSCALING_VARIABLE = "JUJUBEROUTER_AUTOSCALING";
 
+    /** Environment variable that lets an instance that lags reject calls and stop reporting ready, or not. */
+    private static final String OVERLOAD_VARIABLE = "JUJUBEROUTER_OVERLOAD";
+
     private static final String METRICS_PORT_VARIABLE = "JUJUBEROUTER_METRICS_PORT";
     private static final int MAX_PORT = 65_535;
     private static final System.Logger LOG = System.getLogger(ServeCommand.class.getName());
@@ -92,6 +95,7 @@
                 Map.entry("domains", options.features().domainMode()),
                 Map.entry("fair_sharing", options.features().fairSharing()),
                 Map.entry("autoscaling", options.features().autoscaling()),
+                Map.entry("overload", options.features().overload()),
                 Map.entry("bounds", options.bounds()));
         // Signals may arrive as soon as callers can connect, so the handlers are installed first.
         SighupHandler.setAction(() -> rereadSettings(file, options));
@@ -120,8 +124,8 @@
     private GatewayOptions applyEnvironment(GatewayOptions nodeOptions) throws IOException {
         try {
             DomainMode mode = DomainMode.of(System.getenv().getOrDefault(DOMAINS_VARIABLE, "any"));
-            OptionalFeatures features =
-                    new OptionalFeatures(mode, isOn(FAIR_SHARING_VARIABLE), isOn(AUTOSCALING_VARIABLE));
+            OptionalFeatures features = new OptionalFeatures(
+                    mode, isOn(FAIR_SHARING_VARIABLE), isOn(AUTOSCALING_VARIABLE), isOn(OVERLOAD_VARIABLE));
             return applyMetricsPort(nodeOptions.withFeatures(features));
         } catch (IllegalArgumentException e) {
             throw new IOException(DOMAINS_VARIABLE + ": " + e.getMessage(), e);
--- a/src/main/java/org/jujuberouter/gateway/CallerConnection.java
+++ b/src/main/java/org/jujuberouter/gateway/CallerConnection.java
@@ -47,6 +47,7 @@
     private Exchange exchange;
     private boolean keepAlive = true;
     private boolean discarding;
+    private boolean startPending;
     private ScheduledFuture<?> timer;
     private long idleSinceNanos;
 
@@ -93,7 +94,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         HttpObject part = (HttpObject) message;
-        if (exchange != null) {
+        if (isResponding()) {
             pipelined.add(part);
             if (pipelined.size() > MAX_PIPELINED_PARTS) {
                 ctx.channel().config().setAutoRead(false);
@@ -150,6 +151,19 @@
         }
         if (content instanceof LastHttpContent) {
             stopTimer();
+            if (gateway.overload().startsNewCallsLast()) {
+                startPending = true;
+                context.executor().execute(this::startCall);
+            } else {
+                startCall();
+            }
+        }
+    }
+
+    /** Starts the call of the request that has been read, unless the connection was closed meanwhile. */
+    private void startCall() {
+        startPending = false;
+        if (head != null) {
             HttpRequest request = head;
             ByteBuf completeBody = body;
             head = null;
@@ -219,7 +233,7 @@
 
     /** Returns whether a request has been read whose response has not been written to its end. */
     boolean isResponding() {
-        return exchange != null;
+        return exchange != null || startPending;
     }
 
     private boolean isIdle() {
@@ -252,7 +266,7 @@
         }
         startIdleTimer();
         context.channel().config().setAutoRead(true);
-        while (exchange == null && !pipelined.isEmpty()) {
+        while (!isResponding() && !pipelined.isEmpty()) {
             handlePart(pipelined.poll());
         }
     }
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -142,7 +142,7 @@
 
     /** Checks the call against the configuration; responds with an error and returns false if it is not allowed. */
     private boolean admit(Catalog catalog) {
-        switch (Admission.of(catalog, call)) {
+        switch (gateway.overload().check(Admission.of(catalog, call), body.readableBytes())) {
             case Admission.Rejected r -> {
                 respondWithError(r.status(), r.reason(), r.retryAfterMs());
                 return false;
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -135,7 +135,8 @@
         metrics.gauge("configuration_version", this::configurationVersion);
         metrics.gauge("store_contact_age_ms", storeFreshness::ageMs);
         metrics.gauge("store_view_age_ms", viewFreshness::ageMs);
-        this.overload = InstanceOverload.start(loop, ticker, metrics);
+        this.overload = InstanceOverload.start(
+                loop, ticker, log, metrics, options.features().overload());
     }
 
     GatewayMetrics metrics() {
--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -119,6 +119,11 @@
         }
     }
 
+    /** Returns the event loop that serves all connections of the instance. */
+    EventLoop loop() {
+        return loop;
+    }
+
     /** Runs an action on the duties, on the event loop; does nothing if the platform has none. */
     void withDuties(Consumer<DutySync> action) {
         loop.execute(() -> gateway.duties().ifPresent(action));
