Let an instance that lags report that it is not ready, within a bound for the fleet

Callers' connections are routed to every instance that reports ready, also to one that its event loop or link makes slower than the others.

With JUJUBEROUTER_OVERLOAD=on, an instance whose delay has been high for 2 s asks the granting instance of its group, the first in a rendezvous ranking of the listed instances, whether it may be unready. Grants last 5 s at most, go to a sixth of the connected members at most and never to the last one of a failure domain. ContactQuery and ContactReport carry the times as additional last fields, which older builds skip. A budget keeps the unready time within a twentieth of the time since the start. With a stale view nobody is unready.

The lag now is the median of three delays instead of five, the timer runs every 100 ms for 5 s after a late run, and an overdue timer counts: with five, an overload of short turns showed only after a second.

--- a/src/main/java/org/jujuberouter/dispatch/LoopLag.java
+++ b/src/main/java/org/jujuberouter/dispatch/LoopLag.java
@@ -7,24 +7,37 @@
 /**
  * How late the event loop of an instance runs a timer.
  *
- * <p>The lag is a median, so a process that is frozen once, for any time, does not lag.
+ * <p>The lag is the median of the last three delays, so a process that is frozen once, for any time, does not lag. The delay
+ * of a timer that is overdue counts before the timer has run.
  */
 public final class LoopLag {
     /**
      * Time between two runs of the timer. Waking up an idle loop takes 0.08% of a core at this interval and 0.16% at 100 ms;
      * the measurement may take 0.1%.
      */
-    public static final long INTERVAL_MS = 250;
+    private static final long INTERVAL_MS = 250;
 
-    /** Two late runs, a freeze and the backlog right after it, do not count. */
-    private static final int SAMPLES = 5;
+    /** Time between two runs for a while after a late one; a busy loop is awake anyway. */
+    private static final long BUSY_INTERVAL_MS = 100;
 
-    /** Longer than five runs that are each delayed by the longest latency objective. */
+    /** Time after a late run for which the loop counts as busy; bursts last 2 s and more. */
+    private static final long BUSY_MS = 5_000;
+
+    /** Delay of a run that counts as late; the machine's scheduler delays runs by a few milliseconds. */
+    private static final double LATE_MS = 20;
+
+    /** One late run, such as that after a freeze, does not count. */
+    private static final int SAMPLES = 3;
+
+    /** Longer than three runs that are each delayed by the longest latency objective. */
     private static final long MAX_AGE_MS = 60_000;
 
     private final Ticker ticker;
     private final RecentMedian delaysMs;
+    private long intervalMs = INTERVAL_MS;
     private long lastRunNanos;
+    private long busyUntilNanos;
+    private boolean busy;
 
     private LoopLag(Ticker ticker) {
         this.ticker = ticker;
@@ -37,16 +50,32 @@
         return new LoopLag(ticker);
     }
 
-    /** Records a run of the timer, which was due one interval after the run before. */
+    /** Records a run of the timer. */
     public void timerRan() {
-        long now = ticker.nanos();
-        long delayNanos = now - lastRunNanos - TimeUnit.MILLISECONDS.toNanos(INTERVAL_MS);
-        delaysMs.add(Math.max(0, delayNanos) / 1e6);
-        lastRunNanos = now;
+        double delayMs = overdueMs();
+        delaysMs.add(delayMs);
+        lastRunNanos = ticker.nanos();
+        if (delayMs > LATE_MS) {
+            busyUntilNanos = lastRunNanos + TimeUnit.MILLISECONDS.toNanos(BUSY_MS);
+            busy = true;
+        }
+        busy = busy && lastRunNanos < busyUntilNanos;
+        intervalMs = busy ? BUSY_INTERVAL_MS : INTERVAL_MS;
+    }
+
+    /** Returns the time from the last run of the timer until it is due again, in milliseconds. */
+    public long intervalMs() {
+        return intervalMs;
     }
 
     /** Returns the lag in milliseconds. */
     public double ms() {
-        return delaysMs.get();
+        double overdueMs = overdueMs();
+        return overdueMs > LATE_MS ? delaysMs.getWith(overdueMs) : delaysMs.get();
+    }
+
+    private double overdueMs() {
+        long dueNanos = lastRunNanos + TimeUnit.MILLISECONDS.toNanos(intervalMs);
+        return Math.max(0, ticker.nanos() - dueNanos) / 1e6;
     }
 }
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -70,7 +70,7 @@
     private final EndpointProbe probe;
     private final Ticker ticker = Ticker.system();
     private final GatewayLog log;
-    private final GatewayMetrics metrics = new GatewayMetrics();
+    private final GatewayMetrics metrics = GatewayMetrics.ofProcess();
     private final InstanceOverload overload;
     private final StoreFreshness storeFreshness;
     private final StoreFreshness viewFreshness;
@@ -135,8 +135,7 @@
         metrics.gauge("configuration_version", this::configurationVersion);
         metrics.gauge("store_contact_age_ms", storeFreshness::ageMs);
         metrics.gauge("store_view_age_ms", viewFreshness::ageMs);
-        this.overload = InstanceOverload.start(
-                loop, ticker, log, metrics, options.features().overload());
+        this.overload = InstanceOverload.start(this, options, viewFreshness);
     }
 
     GatewayMetrics metrics() {
@@ -202,7 +201,7 @@
 
     /** Returns whether the platform should send new connections to this instance. */
     boolean isReady() {
-        return !stopSchedule.isStopping() && catalog.isPresent() && storeFreshness.isCurrent();
+        return !stopSchedule.isStopping() && catalog.isPresent() && storeFreshness.isCurrent() && overload.isReady();
     }
 
     /** Returns whether no call is running, no response is being written and no engine memory is to be freed. */
@@ -229,6 +228,7 @@
     /** Reports the instance as not ready and takes only calls that can end in time. */
     void stop() {
         stopSchedule.begin();
+        overload.stopping();
         log.stateChanged(
                 "stopping", Map.entry("running", running.size()), Map.entry("connections", connections.size()));
     }
--- a/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
@@ -24,9 +24,12 @@
     private final LabelledMetrics metrics = LabelledMetrics.create();
     private FairShare shares;
 
-    GatewayMetrics() {
+    /** Returns metrics with the gauges of the process. */
+    static GatewayMetrics ofProcess() {
+        GatewayMetrics metrics = new GatewayMetrics();
         Runtime runtime = Runtime.getRuntime();
-        gauge("heap_bytes", () -> runtime.totalMemory() - runtime.freeMemory());
+        metrics.gauge("heap_bytes", () -> runtime.totalMemory() - runtime.freeMemory());
+        return metrics;
     }
 
     /** Counts a finished call; the customer is empty if it was not identified. */
--- a/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
+++ b/src/main/java/org/jujuberouter/gateway/PeerLoadSync.java
@@ -39,7 +39,7 @@
  * <p>A notification is sent together with the request and arrives about as soon as the request reaches its endpoint.
  * Work whose end is not reported counts until its deadline. A newly connected peer is sent all work in progress.
  */
-final class PeerLoadSync implements PeerListener, AutoCloseable {
+final class PeerLoadSync implements PeerListener, ReadinessSync.Peers, AutoCloseable {
     private static final System.Logger LOG = System.getLogger(PeerLoadSync.class.getName());
 
     private static final String INSTANCE_GROUPS = "instances";
@@ -170,6 +170,7 @@
         Set<InstanceId> formerMembers = members;
         members = newMembers;
         selectProving();
+        gateway.overload().setGroup(members, domains, this);
         gateway.registry().setGroup(ownGroup, groups, byDomain);
         if (gateway.duties().isPresent()) {
             // An instance that connected to report to the leader, or as the leader, was not sent the work.
@@ -206,7 +207,8 @@
         return listed;
     }
 
-    boolean isConnected(InstanceId instance) {
+    @Override
+    public boolean isConnected(InstanceId instance) {
         return network.isConnected(instance);
     }
 
@@ -305,6 +307,7 @@
             case PeerMessage.ContactReport m -> {
                 proofRoles.onReport(sender, m);
                 proof.onReport(m);
+                gateway.overload().onReport(m);
             }
             case PeerMessage.EndpointFailed m ->
                 gateway.registry().find(m.endpoint()).ifPresent(e -> e.recordPeerFailure(ticker.nanos()));
@@ -353,9 +356,10 @@
     }
 
     private void answer(PeerConnection from, PeerMessage.ContactQuery query) {
+        long grantedMs = gateway.overload().grant(from.peer().instance(), query.unreadyMillis());
         if (proof.canReport() || proofRoles.isCandidate()) {
             try {
-                from.send(proof.report(query));
+                from.send(proof.report(query).granting(grantedMs));
             } catch (PeerException e) {
                 LOG.log(
                         System.Logger.Level.DEBUG,
@@ -396,8 +400,8 @@
         found.forEach(this::removeWork);
     }
 
-    /** Sends a message to a peer that is connected. */
-    void send(InstanceId to, PeerMessage message) {
+    @Override
+    public void send(InstanceId to, PeerMessage message) {
         try {
             network.send(to, message);
         } catch (PeerException e) {
--- a/src/main/java/org/jujuberouter/misc/RecentMedian.java
+++ b/src/main/java/org/jujuberouter/misc/RecentMedian.java
@@ -40,12 +40,24 @@
 
     /** Returns the median, the lower one of two; 0 while there are fewer than half of the samples. */
     public double get() {
-        long now = ticker.nanos();
+        return median(new double[values.length], 0);
+    }
+
+    /** Returns what the median would be after another sample. */
+    public double getWith(double value) {
         double[] recent = new double[values.length];
-        int count = 0;
-        for (int i = 0; i < Math.min(added, values.length); i++) {
-            if (now - addedAt[i] <= maxAgeNanos) {
-                recent[count++] = values[i];
+        recent[0] = value;
+        return median(recent, 1);
+    }
+
+    /** Returns the median of the given first elements and the latest samples, which are added behind them. */
+    private double median(double[] recent, int given) {
+        long now = ticker.nanos();
+        int count = given;
+        for (long i = Math.max(0, added - values.length + given); i < added; i++) {
+            int index = (int) (i % values.length);
+            if (now - addedAt[index] <= maxAgeNanos) {
+                recent[count++] = values[index];
             }
         }
         if (count <= values.length / 2) {
--- a/src/main/java/org/jujuberouter/peer/FieldWriter.java
+++ b/src/main/java/org/jujuberouter/peer/FieldWriter.java
@@ -134,14 +134,18 @@
                         .text(m.endpoint())
                         .number(m.delayMillis());
             case WorkEnded m -> messageHeader(PeerCodec.WORK_ENDED, 1).text(m.request());
-            case ContactQuery m -> messageHeader(PeerCodec.CONTACT_QUERY, 1).tickerTime(m.queryNanos());
+            case ContactQuery m ->
+                messageHeader(PeerCodec.CONTACT_QUERY, 2)
+                        .tickerTime(m.queryNanos())
+                        .number(m.unreadyMillis());
             case ContactReport m ->
-                messageHeader(PeerCodec.CONTACT_REPORT, 5)
+                messageHeader(PeerCodec.CONTACT_REPORT, 6)
                         .tickerTime(m.queryNanos())
                         .number(m.ageMillis())
                         .number(m.configuration())
                         .number(m.viewAgeMillis())
-                        .number(m.revision());
+                        .number(m.revision())
+                        .number(m.unreadyMillis());
             case EndpointFailed m -> messageHeader(PeerCodec.ENDPOINT_FAILED, 1).text(m.endpoint());
             case EndpointCrashed m -> endpointCrashed(m);
             case TraitAnswered m ->
--- a/src/main/java/org/jujuberouter/peer/PeerCodec.java
+++ b/src/main/java/org/jujuberouter/peer/PeerCodec.java
@@ -221,7 +221,16 @@
                                 r.id("request", RequestId::of), r.id("endpoint", EndpointId::of), r.number("delay")));
             case WORK_ENDED ->
                 readFields(in, "WorkEnded", fields, 1, r -> new WorkEnded(r.id("request", RequestId::of)));
-            case CONTACT_QUERY -> readFields(in, "ContactQuery", fields, 1, r -> new ContactQuery(r.tickerTime()));
+            case CONTACT_QUERY ->
+                // Older builds send the first field only.
+                fields >= 2
+                        ? readFields(
+                                in,
+                                "ContactQuery",
+                                fields,
+                                2,
+                                r -> new ContactQuery(r.tickerTime(), r.number("unready time")))
+                        : readFields(in, "ContactQuery", fields, 1, r -> new ContactQuery(r.tickerTime()));
             case CONTACT_REPORT -> contactReport(in, fields);
             case ENDPOINT_FAILED ->
                 readFields(in, "EndpointFailed", fields, 1, r -> new EndpointFailed(r.id("endpoint", EndpointId::of)));
@@ -256,16 +265,21 @@
                         e -> new SuspectCall(e.list("traits", MAX_TRAITS, t -> t.id("trait", RequestTrait::of)))));
     }
 
-    /** Reads a report; builds that report no revision send the first three fields only. */
+    /** Reads a report; older builds send the first five fields, or three if they report no revision. */
     private static ContactReport contactReport(FieldReader in, int fields) throws IOException, PeerException {
         boolean withView = fields >= 5;
-        return readFields(in, "ContactReport", fields, withView ? 5 : 3, r -> {
+        boolean withGrant = fields >= 6;
+        int known = withView ? 5 : 3;
+        return readFields(in, "ContactReport", fields, withGrant ? 6 : known, r -> {
             long query = r.tickerTime();
             long age = r.number("age");
             long configuration = r.number("configuration");
-            return withView
-                    ? new ContactReport(query, age, configuration, r.number("age of the view"), r.number("revision"))
-                    : ContactReport.ofConfiguration(query, age, configuration);
+            if (!withView) {
+                return ContactReport.ofConfiguration(query, age, configuration);
+            }
+            ContactReport report =
+                    new ContactReport(query, age, configuration, r.number("age of the view"), r.number("revision"));
+            return withGrant ? report.granting(r.number("unready time")) : report;
         });
     }
 
--- a/src/main/java/org/jujuberouter/peer/PeerMessage.java
+++ b/src/main/java/org/jujuberouter/peer/PeerMessage.java
@@ -397,8 +397,15 @@
      * Asks for the age of the receiver's view of the store.
      *
      * @param queryNanos the monotonic time of the sender, echoed in the report
+     * @param unreadyMillis the time for which the sender wants not to be ready because it lags, 0 if it does not; above 5 s,
+     *     the sender is stopping and not ready whatever the answer is
      */
-    record ContactQuery(long queryNanos) implements GatewayMessage {}
+    record ContactQuery(long queryNanos, long unreadyMillis) implements GatewayMessage {
+        /** Creates a query of an instance that remains ready. */
+        public ContactQuery(long queryNanos) {
+            this(queryNanos, 0);
+        }
+    }
 
     /**
      * Reports the age of the sender's view of the store. The whole view can be older than that of the configuration,
@@ -410,9 +417,21 @@
      * @param viewAgeMillis the age of the whole view when the report was created
      * @param revision the revision of the store in the whole view, or 0 if its age is not known or the sender does not reach
      *     the store
+     * @param unreadyMillis the time from the query on for which the receiver may not be ready; 0 if it has to be
      */
-    record ContactReport(long queryNanos, long ageMillis, long configuration, long viewAgeMillis, long revision)
+    record ContactReport(
+            long queryNanos, long ageMillis, long configuration, long viewAgeMillis, long revision, long unreadyMillis)
             implements GatewayMessage {
+        /** Creates a report that grants nothing. */
+        public ContactReport(long queryNanos, long ageMillis, long configuration, long viewAgeMillis, long revision) {
+            this(queryNanos, ageMillis, configuration, viewAgeMillis, revision, 0);
+        }
+
+        /** Returns this report with the time for which the receiver may not be ready. */
+        public ContactReport granting(long millis) {
+            return new ContactReport(queryNanos, ageMillis, configuration, viewAgeMillis, revision, millis);
+        }
+
         /** Returns a report that says nothing of the whole view. */
         static ContactReport ofConfiguration(long queryNanos, long ageMillis, long configuration) {
             return new ContactReport(queryNanos, ageMillis, configuration, 0, 0);
--- a/src/main/java/org/jujuberouter/peer/SampleMessages.java
+++ b/src/main/java/org/jujuberouter/peer/SampleMessages.java
@@ -93,8 +93,8 @@
                         Optional.of(CUSTOMER)),
                 new PeerMessage.WorkRead(REQUEST, ENDPOINT, 12),
                 new PeerMessage.WorkEnded(REQUEST),
-                new PeerMessage.ContactQuery(-7_000_000_000L),
-                new PeerMessage.ContactReport(-7_000_000_000L, 640, 18_233, 910, 91_877),
+                new PeerMessage.ContactQuery(-7_000_000_000L, 5_000),
+                new PeerMessage.ContactReport(-7_000_000_000L, 640, 18_233, 910, 91_877, 5_000),
                 new PeerMessage.EndpointFailed(ENDPOINT),
                 new PeerMessage.EndpointCrashed(
                         ENDPOINT, 40, List.of(new PeerMessage.SuspectCall(List.of(TRAIT, TRAIT)))),
--- a/src/test/java/org/jujuberouter/peer/PeerCodecTest.java
+++ b/src/test/java/org/jujuberouter/peer/PeerCodecTest.java
@@ -63,6 +63,22 @@
         assertEquals(new PeerMessage.ContactReport(-7, 640, 18_233, 0, 0), PeerCodec.decode(three));
     }
 
+    /** In a rolling upgrade, instances of a build that knows no unready time stay connected and grant nothing. */
+    @Test
+    void readsAContactQueryAndReportWithoutUnreadyTime() throws Exception {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packArrayHeader(2).packInt(PeerCodec.CONTACT_QUERY).packLong(-7);
+            assertEquals(new PeerMessage.ContactQuery(-7, 0), PeerCodec.decode(packer.toByteArray()));
+        }
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packArrayHeader(6).packInt(PeerCodec.CONTACT_REPORT).packLong(-7);
+            packer.packLong(640).packLong(18_233).packLong(910).packLong(91_877);
+            assertEquals(
+                    new PeerMessage.ContactReport(-7, 640, 18_233, 910, 91_877, 0),
+                    PeerCodec.decode(packer.toByteArray()));
+        }
+    }
+
     /** In a rolling upgrade, instances of a build without shares among customers stay connected. */
     @Test
     void readsAStartOfWorkWithoutWorkAndCustomer() throws Exception {
