--- a/src/main/java/org/jujuberouter/gateway/CallerConnection.java
+++ b/src/main/java/org/jujuberouter/gateway/CallerConnection.java
@@ -66,6 +66,7 @@
     private boolean keepAlive = true;
     private boolean discarding;
     private Optional<ChannelFuture> refusalWritten = Optional.empty();
+    private boolean startPending;
     private ScheduledFuture<?> timer;
     private long idleSinceNanos;
 
@@ -114,7 +115,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         HttpObject part = (HttpObject) message;
-        if (exchange != null) {
+        if (isResponding()) {
             queuePipelined(part);
             return;
         }
@@ -214,6 +215,19 @@
         }
         if (content instanceof LastHttpContent) {
             stopTimer();
+            if (gateway.overload().startsNewCallsLast()) {
+                startPending = true;
+                context.executor().execute(this::startCall);
+            } else {
+                startCall();
+            }
+        }
+    }
+
+    /** Starts the call of the request that has been read, unless the connection was closed meanwhile. */
+    private void startCall() {
+        startPending = false;
+        if (head != null) {
             HttpRequest request = head;
             ByteBuf completeBody = body;
             head = null;
@@ -309,7 +323,7 @@
 
     /** Returns whether a request has been read whose response has not been written to its end. */
     boolean isResponding() {
-        return exchange != null;
+        return exchange != null || startPending;
     }
 
     private boolean isIdle() {
@@ -342,7 +356,7 @@
         }
         startIdleTimer();
         context.channel().config().setAutoRead(true);
-        while (exchange == null && !pipelined.isEmpty()) {
+        while (!isResponding() && !pipelined.isEmpty()) {
             handlePipelined(pipelined.poll());
         }
     }
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -140,7 +140,7 @@
 
     /** Checks the call against the configuration; responds with an error and returns false if it is not allowed. */
     private boolean admit(Catalog catalog) {
-        switch (Admission.of(catalog, call)) {
+        switch (gateway.overload().check(Admission.of(catalog, call), body.readableBytes())) {
             case Admission.Rejected r -> {
                 respondWithError(r.status(), r.reason(), r.retryAfterMs());
                 return false;
@@ -265,12 +265,8 @@
         if (thisAttempt.reservation != null) {
             thisAttempt.reservation.requestSent(placement.predictedFirstEventMs());
         }
-        thisAttempt.clientCall = ClientCall.send(
-                gateway.loop(),
-                endpoint.address(),
-                CONNECT_TIMEOUT_MS,
-                gateway.codec().write(head, body, outgoing),
-                thisAttempt);
+        thisAttempt.clientCall = gateway.overload()
+                .send(endpoint.address(), CONNECT_TIMEOUT_MS, gateway.codec().write(head, body, outgoing), thisAttempt);
         if (thisAttempt == attempt) {
             thisAttempt.silence = SilenceCheck.start(
                     gateway.loop(),
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -70,7 +70,8 @@
     private final EndpointProbe probe;
     private final Ticker ticker = Ticker.system();
     private final GatewayLog log;
-    private final GatewayMetrics metrics = new GatewayMetrics();
+    private final GatewayMetrics metrics = GatewayMetrics.ofProcess();
+    private final InstanceOverload overload;
     private final StoreFreshness storeFreshness;
     private final StoreFreshness viewFreshness;
     private final EndpointRegistry registry = EndpointRegistry.empty(ticker);
@@ -123,25 +124,24 @@
                 StoreFreshness.of(ticker, wallClock, options.bounds().keyRevocationMs());
         metrics.gauge("calls_running", running::size);
         metrics.gauge("calls_waiting", waitQueue::size);
-        metrics.gauge("calls_deferred_total", shares::deferredCalls);
         metrics.shares(shares);
         metrics.gauge("caller_connections", connections::size);
         metrics.gauge("memory_releases_pending", () -> memoryReleases);
         metrics.gauge("peers_known", () -> peerLoad.peerCount());
-        metrics.gauge("endpoints_known", registry::size);
-        metrics.gauge("endpoints_avoided", registry::backedOffCount);
-        metrics.gauge("endpoint_orderings", registry::orderings);
+        metrics.endpoints(registry);
         metrics.gauge("configuration_version", this::configurationVersion);
-        metrics.gauge("store_contact_age_ms", storeFreshness::ageMs);
-        metrics.gauge("store_view_age_ms", viewFreshness::ageMs);
-        Runtime runtime = Runtime.getRuntime();
-        metrics.gauge("heap_bytes", () -> runtime.totalMemory() - runtime.freeMemory());
+        metrics.storeAges(storeFreshness, viewFreshness);
+        this.overload = InstanceOverload.start(this, options, viewFreshness);
     }
 
     GatewayMetrics metrics() {
         return metrics;
     }
 
+    InstanceOverload overload() {
+        return overload;
+    }
+
     EventLoop loop() {
         return loop;
     }
@@ -197,7 +197,7 @@
 
     /** Returns whether the platform should send new connections to this instance. */
     boolean isReady() {
-        return !stopSchedule.isStopping() && catalog.isPresent() && storeFreshness.isCurrent();
+        return !stopSchedule.isStopping() && catalog.isPresent() && storeFreshness.isCurrent() && overload.isReady();
     }
 
     /** Returns whether no call is running, no response is being written and no engine memory is to be freed. */
@@ -224,6 +224,7 @@
     /** Reports the instance as not ready and takes only calls that can end in time. */
     void stop() {
         stopSchedule.begin();
+        overload.stopping();
         log.stateChanged(
                 "stopping", Map.entry("running", running.size()), Map.entry("connections", connections.size()));
     }
--- a/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
@@ -2,7 +2,9 @@
 
 import java.util.function.LongSupplier;
 import org.jujuberouter.dispatch.AwayReason;
+import org.jujuberouter.dispatch.EndpointRegistry;
 import org.jujuberouter.dispatch.FairShare;
+import org.jujuberouter.dispatch.StoreFreshness;
 import org.jujuberouter.error.ExecutionOutcome;
 import org.jujuberouter.id.CustomerId;
 import org.jujuberouter.id.FailureDomain;
@@ -24,6 +26,14 @@
     private final LabelledMetrics metrics = LabelledMetrics.create();
     private FairShare shares;
 
+    /** Returns metrics with the gauges of the process. */
+    static GatewayMetrics ofProcess() {
+        GatewayMetrics metrics = new GatewayMetrics();
+        Runtime runtime = Runtime.getRuntime();
+        metrics.gauge("heap_bytes", () -> runtime.totalMemory() - runtime.freeMemory());
+        return metrics;
+    }
+
     /** Counts a finished call; the customer is empty if it was not identified. */
     void ended(String service, String customer, ExecutionOutcome outcome, int status) {
         metrics.count(
@@ -111,8 +121,22 @@
         metrics.removeGauges(name);
     }
 
+    /** Registers the gauges of the known endpoints. */
+    void endpoints(EndpointRegistry registry) {
+        gauge("endpoints_known", registry::size);
+        gauge("endpoints_avoided", registry::backedOffCount);
+        gauge("endpoint_orderings", registry::orderings);
+    }
+
+    /** Registers the gauges of the age of the configuration and keys, and of all that the store holds. */
+    void storeAges(StoreFreshness contact, StoreFreshness view) {
+        gauge("store_contact_age_ms", contact::ageMs);
+        gauge("store_view_age_ms", view::ageMs);
+    }
+
     /** Sets the shares whose largest users are rendered. */
     void shares(FairShare rendered) {
+        gauge("calls_deferred_total", rendered::deferredCalls);
         shares = rendered;
     }
 
