Order engines only where callers gain more than they cost

Cause: orders kept the utilisation below fixed limits for loads of 4, 10 and 30 s.

Change: LoadProfile measures the usual load, loads that have lasted, and the share of time of bursts. LatenessCost gives what late calls cost with a number of engines, by figures of the queueing model. ServiceScaler orders the number of engines with the largest gain after their cost, for the time that a load is expected to last. Engines are removed by the same calculation. Waiting and refused calls count as a high load and no longer bring a tenth of the engines at once.

--- a/src/main/java/org/jujuberouter/scaling/ScaleController.java
+++ b/src/main/java/org/jujuberouter/scaling/ScaleController.java
@@ -13,11 +13,11 @@
 /**
  * Decides how many engines each service needs in each failure domain.
  *
- * <p>The load of a service is measured in engines that would be busy throughout. Engines are added as soon as the mean or
- * the peak of the load exceeds what the present ones bear with calls on time, and removed in small steps after the load
- * has been low for some boot times. The two limits differ, and engines that are needed again soon after their removal
- * lengthen that time, so random bursts cause no orders back and forth. Orders state total counts, so a new leader that
- * repeats one changes nothing.
+ * <p>The load of a service is measured in engines that would be busy throughout. Engines are added when callers gain more
+ * from them, over the time for which a load that has lasted is expected to last, than they cost over the time for which
+ * they will stay. They are removed in small steps while late calls and engines together cost less with fewer. Engines
+ * that are needed again soon after their removal lengthen the time to the next removal, so random bursts cause no orders
+ * back and forth. Orders state total counts, so a new leader that repeats one changes nothing.
  *
  * <p>All times are in milliseconds of one {@code Ticker}.
  */
@@ -107,7 +107,7 @@
     private void addReports(DemandRates rates, ServiceSpec service, List<DemandReport> reports) {
         int slots = Math.max(1, service.engine().orElseThrow().slots());
         // A sample from before the window is needed to measure over all of it.
-        long keptMs = policy.meanWindowMs() + STALE_MS;
+        long keptMs = policy.usualWindowMs() + STALE_MS;
         for (DemandReport report : reports) {
             for (ServiceDemand demand : report.demands()) {
                 if (demand.service().equals(service.name())) {
