Give the scale controller the reports of the duties as they are

Cause: scaling.DemandReport held the same as duty.InstanceDemand, apart from the age that EngineScaling converted to a time of receipt.

Change: ScalingInputs takes InstanceDemand, and the controller subtracts the age. ScalingSite keeps the time of each report beside it.

--- a/src/main/java/org/jujuberouter/gateway/EngineScaling.java
+++ b/src/main/java/org/jujuberouter/gateway/EngineScaling.java
@@ -1,6 +1,5 @@
 package org.jujuberouter.gateway;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,7 +15,6 @@
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.misc.Ticker;
-import org.jujuberouter.scaling.DemandReport;
 import org.jujuberouter.scaling.EngineCount;
 import org.jujuberouter.scaling.ScaleController;
 import org.jujuberouter.scaling.ScaleOrder;
@@ -55,12 +53,8 @@
             current = Optional.of(term);
             controller.leaderChanged(now);
         }
-        List<DemandReport> reports = new ArrayList<>(demands.size());
-        for (InstanceDemand d : demands) {
-            reports.add(new DemandReport(d.source().instance(), now - d.ageMs(), d.demand()));
-        }
         ScalingInputs inputs = new ScalingInputs(
-                catalog.get().services(), countEngines(), gateway.registry().evacuated(), listedInstances, reports);
+                catalog.get().services(), countEngines(), gateway.registry().evacuated(), listedInstances, demands);
         for (ScaleOrder order : controller.decide(now, inputs)) {
             duties.orderEngines(term, order.service(), order.domain(), order.count(), result -> {
                 if (result == DutyResult.ACCEPTED) {
--- a/src/main/java/org/jujuberouter/scaling/ScaleController.java
+++ b/src/main/java/org/jujuberouter/scaling/ScaleController.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.jujuberouter.catalog.ServiceSpec;
+import org.jujuberouter.duty.InstanceDemand;
 import org.jujuberouter.duty.ServiceDemand;
 import org.jujuberouter.id.ServiceName;
 
@@ -74,8 +75,8 @@
             takenOutAtMs = nowMs;
         }
         int fresh = 0;
-        for (DemandReport report : inputs.reports()) {
-            fresh += nowMs - report.receivedAtMs() <= STALE_MS ? 1 : 0;
+        for (InstanceDemand report : inputs.reports()) {
+            fresh += report.ageMs() <= STALE_MS ? 1 : 0;
         }
         boolean complete = inputs.instances() - fresh <= inputs.instances() * MAX_STALE_FRACTION;
         long leaderForMs = nowMs - leaderSinceMs;
@@ -91,7 +92,7 @@
             scaled.add(service.name());
             ServiceScaler scaler =
                     scalers.computeIfAbsent(service.name(), _ -> new ServiceScaler(policy, orders, observer, nowMs));
-            addReports(scaler.rates(), service, inputs.reports());
+            addReports(scaler.rates(), service, inputs.reports(), nowMs);
             decided.addAll(scaler.decide(
                     service,
                     inputs.engines().getOrDefault(service.name(), Map.of()),
@@ -104,14 +105,14 @@
         return decided;
     }
 
-    private void addReports(DemandRates rates, ServiceSpec service, List<DemandReport> reports) {
+    private void addReports(DemandRates rates, ServiceSpec service, List<InstanceDemand> reports, long nowMs) {
         int slots = Math.max(1, service.engine().orElseThrow().slots());
         // A sample from before the window is needed to measure over all of it.
         long keptMs = policy.usualWindowMs() + STALE_MS;
-        for (DemandReport report : reports) {
-            for (ServiceDemand demand : report.demands()) {
+        for (InstanceDemand report : reports) {
+            for (ServiceDemand demand : report.demand()) {
                 if (demand.service().equals(service.name())) {
-                    rates.add(report.instance(), demand, report.receivedAtMs(), slots, keptMs);
+                    rates.add(report.source().instance(), demand, nowMs - report.ageMs(), slots, keptMs);
                 }
             }
         }
--- a/src/main/java/org/jujuberouter/scaling/ScalingInputs.java
+++ b/src/main/java/org/jujuberouter/scaling/ScalingInputs.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.jujuberouter.catalog.ServiceSpec;
+import org.jujuberouter.duty.InstanceDemand;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.ServiceName;
 
@@ -23,4 +24,4 @@
         Map<ServiceName, Map<FailureDomain, EngineCount>> engines,
         Set<FailureDomain> takenOut,
         int instances,
-        List<DemandReport> reports) {}
+        List<InstanceDemand> reports) {}
--- a/src/test/java/org/jujuberouter/scaling/ScalingSite.java
+++ b/src/test/java/org/jujuberouter/scaling/ScalingSite.java
@@ -13,8 +13,10 @@
 import org.jujuberouter.catalog.EngineCostModel;
 import org.jujuberouter.catalog.ScalingSpec;
 import org.jujuberouter.catalog.ServiceSpec;
+import org.jujuberouter.duty.InstanceDemand;
 import org.jujuberouter.duty.ServiceDemand;
 import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.Incarnation;
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.ServiceName;
 
@@ -53,7 +55,8 @@
     private final Random random;
     private final Map<FailureDomain, List<Long>> registeredAt = new TreeMap<>();
     private final double[] workMs = new double[INSTANCES];
-    private final DemandReport[] reports = new DemandReport[INSTANCES];
+    private final InstanceDemand[] reports = new InstanceDemand[INSTANCES];
+    private final long[] reportedAtMs = new long[INSTANCES];
     private double backlogMs;
     private long queuedSinceMs;
 
@@ -80,6 +83,7 @@
             for (int i = 0; i < INSTANCES - silentInstances; i++) {
                 if (nowMs % 1_000 == i * STEP_MS) {
                     reports[i] = report(i);
+                    reportedAtMs[i] = nowMs;
                 }
             }
             if (nowMs % 1_000 == 500) {
@@ -111,20 +115,20 @@
         longestWaitMs = Math.max(longestWaitMs, backlogMs / Math.max(1, usable));
     }
 
-    private DemandReport report(int i) {
+    private InstanceDemand report(int i) {
         int waiting = (int) (backlogMs / 100 / INSTANCES);
         double half = workMs[i] / 2;
         ServiceDemand demand = new ServiceDemand(SERVICE, DOMAINS.get(i % 3), half, half * ENGINE.slots(), waiting, 0);
-        return new DemandReport(InstanceId.of("i" + i), nowMs, List.of(demand));
+        return new InstanceDemand(Incarnation.of(InstanceId.of("i" + i), 1), 0, List.of(demand));
     }
 
     ScalingInputs inputs() {
         Map<FailureDomain, EngineCount> counts = new TreeMap<>();
         DOMAINS.forEach(d -> counts.put(d, count(d)));
-        List<DemandReport> known = new ArrayList<>();
-        for (DemandReport report : reports) {
-            if (report != null) {
-                known.add(report);
+        List<InstanceDemand> known = new ArrayList<>();
+        for (int i = 0; i < INSTANCES; i++) {
+            if (reports[i] != null) {
+                known.add(new InstanceDemand(reports[i].source(), nowMs - reportedAtMs[i], reports[i].demand()));
             }
         }
         return new ScalingInputs(List.of(service()), Map.of(SERVICE, counts), Set.copyOf(takenOut), INSTANCES, known);
--- a/src/test/java/org/jujuberouter/scaling/ScalingWorthTest.java
+++ b/src/test/java/org/jujuberouter/scaling/ScalingWorthTest.java
@@ -15,8 +15,10 @@
 import java.util.stream.IntStream;
 import org.jujuberouter.catalog.ScalingSpec;
 import org.jujuberouter.catalog.ServiceSpec;
+import org.jujuberouter.duty.InstanceDemand;
 import org.jujuberouter.duty.ServiceDemand;
 import org.jujuberouter.id.FailureDomain;
+import org.jujuberouter.id.Incarnation;
 import org.jujuberouter.id.InstanceId;
 import org.junit.jupiter.api.Test;
 
@@ -119,7 +121,7 @@
                     Optional.of(ScalingSite.ENGINE),
                     Optional.of(new ScalingSpec(min, MAX, BOOT_MS)));
             Map<FailureDomain, EngineCount> view = new TreeMap<>();
-            List<DemandReport> reports = new ArrayList<>();
+            List<InstanceDemand> reports = new ArrayList<>();
             engines.forEach((domain, present) -> {
                 int usable = (int) present.stream().filter(e -> !e.isDown).count();
                 view.put(domain, new EngineCount(present.size(), usable, 0));
@@ -130,7 +132,7 @@
                         model.arrivedSlotMs / 3,
                         model.waiting() / 3,
                         0);
-                reports.add(new DemandReport(InstanceId.of("i-" + domain), now, List.of(demand)));
+                reports.add(new InstanceDemand(Incarnation.of(InstanceId.of("i-" + domain), 1), 0, List.of(demand)));
             });
             return new ScalingInputs(
                     List.of(service), Map.of(ScalingSite.SERVICE, view), Set.of(), reports.size(), reports);
