--- a/src/main/java/org/jujuberouter/scaling/ScaleController.java
+++ b/src/main/java/org/jujuberouter/scaling/ScaleController.java
@@ -7,17 +7,18 @@
 import java.util.Map;
 import java.util.Set;
 import org.jujuberouter.catalog.ServiceSpec;
+import org.jujuberouter.duty.InstanceDemand;
 import org.jujuberouter.duty.ServiceDemand;
 import org.jujuberouter.id.ServiceName;
 
 /**
  * Decides how many engines each service needs in each failure domain.
  *
- * <p>The load of a service is measured in engines that would be busy throughout. Engines are added as soon as the mean or
- * the peak of the load exceeds what the present ones bear with calls on time, and removed in small steps after the load
- * has been low for some boot times. The two limits differ, and engines that are needed again soon after their removal
- * lengthen that time, so random bursts cause no orders back and forth. Orders state total counts, so a new leader that
- * repeats one changes nothing.
+ * <p>The load of a service is measured in engines that would be busy throughout. Engines are added when callers gain more
+ * from them, over the time for which a load that has lasted is expected to last, than they cost over the time for which
+ * they will stay. They are removed in small steps while late calls and engines together cost less with fewer. Engines
+ * that are needed again soon after their removal lengthen the time to the next removal, so random bursts cause no orders
+ * back and forth. Orders state total counts, so a new leader that repeats one changes nothing.
  *
  * <p>All times are in milliseconds of one {@code Ticker}.
  */
@@ -74,8 +75,8 @@
             takenOutAtMs = nowMs;
         }
         int fresh = 0;
-        for (DemandReport report : inputs.reports()) {
-            fresh += nowMs - report.receivedAtMs() <= STALE_MS ? 1 : 0;
+        for (InstanceDemand report : inputs.reports()) {
+            fresh += report.ageMs() <= STALE_MS ? 1 : 0;
         }
         boolean complete = inputs.instances() - fresh <= inputs.instances() * MAX_STALE_FRACTION;
         long leaderForMs = nowMs - leaderSinceMs;
@@ -91,7 +92,7 @@
             scaled.add(service.name());
             ServiceScaler scaler =
                     scalers.computeIfAbsent(service.name(), _ -> new ServiceScaler(policy, orders, observer, nowMs));
-            addReports(scaler.rates(), service, inputs.reports());
+            addReports(scaler.rates(), service, inputs.reports(), nowMs);
             decided.addAll(scaler.decide(
                     service,
                     inputs.engines().getOrDefault(service.name(), Map.of()),
@@ -104,14 +105,14 @@
         return decided;
     }
 
-    private void addReports(DemandRates rates, ServiceSpec service, List<DemandReport> reports) {
+    private void addReports(DemandRates rates, ServiceSpec service, List<InstanceDemand> reports, long nowMs) {
         int slots = Math.max(1, service.engine().orElseThrow().slots());
         // A sample from before the window is needed to measure over all of it.
-        long keptMs = policy.meanWindowMs() + STALE_MS;
-        for (DemandReport report : reports) {
-            for (ServiceDemand demand : report.demands()) {
+        long keptMs = policy.usualWindowMs() + STALE_MS;
+        for (InstanceDemand report : reports) {
+            for (ServiceDemand demand : report.demand()) {
                 if (demand.service().equals(service.name())) {
-                    rates.add(report.instance(), demand, report.receivedAtMs(), slots, keptMs);
+                    rates.add(report.source().instance(), demand, nowMs - report.ageMs(), slots, keptMs);
                 }
             }
         }
