Predict when queued calls can be placed and reject those that can't be served

Cause: a call without a place waited for 0.6 of its caller's timeout whether or not an engine could serve it, and was then rejected although it could still have been served; its caller was told a random Retry-After.

Change: the end of each call in progress is derived from the cost model, so a queued call knows the earliest and the latest time of its placement behind the calls ahead of it. A call that can't be served before its deadline is rejected at once; a late short call is kept and leaves freed slots to calls that can be on time; a late long prompt is kept only if it delays no other. Retry-After is the predicted time, spread at the rate at which slots are freed, at most a third of the time that the caller still waits. The state is local and no message changes. Calls that find a place at once don't get here.

--- a/src/main/java/org/jujuberouter/catalog/EngineCostModel.java
+++ b/src/main/java/org/jujuberouter/catalog/EngineCostModel.java
@@ -61,6 +61,13 @@
         return promptTokens / prefillTokensPerMs + pairs / 1e6 * attentionMsPerMillionPairs;
     }
 
+    /** Returns the length of a prompt from the time that a single engine needs to prefill it. */
+    public long promptTokens(double prefillMs) {
+        double perToken = 1 / prefillTokensPerMs;
+        double perPair = attentionMsPerMillionPairs / 2e6;
+        return Math.round(2 * prefillMs / (perToken + Math.sqrt(perToken * perToken + 4 * perPair * prefillMs)));
+    }
+
     /** Returns the time of an iteration without prefill, in milliseconds. */
     public double decodeIterationMs(int sequences, long contextTokens) {
         return decodeStepsPerIteration
--- a/src/main/java/org/jujuberouter/dispatch/CallQueue.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallQueue.java
@@ -35,6 +35,7 @@
 
     private final Ticker ticker;
     private final FairShare shares;
+    private final CallsAhead ahead = new CallsAhead();
     private final Map<C, Entry<C>> waiting = new LinkedHashMap<>();
 
     private static final class Entry<C> {
@@ -114,6 +115,11 @@
         return count;
     }
 
+    /** Returns the calls that go before the one that is being placed. */
+    public CallsAhead ahead() {
+        return ahead;
+    }
+
     /** Returns the number of queued calls. */
     public int size() {
         return waiting.size();
@@ -126,6 +132,7 @@
      */
     public void dispatch(Predicate<C> tryPlace) {
         List<Entry<C>> order = inOrder();
+        ahead.begin();
         int onTime = 0;
         while (onTime < order.size() && !order.get(onTime).isLate()) {
             onTime++;
@@ -186,8 +193,11 @@
 
     private void place(Entry<C> e, Map<ServiceName, Failures> failures, Predicate<C> tryPlace) {
         Failures counts = failures.computeIfAbsent(e.requirements.service(), _ -> new Failures());
-        if (!waiting.containsKey(e.call)
-                || (e.requirements.isShort() ? counts.shortCalls : counts.longCalls) >= MAX_FAILURES_PER_CLASS) {
+        if (!waiting.containsKey(e.call)) {
+            return;
+        }
+        if ((e.requirements.isShort() ? counts.shortCalls : counts.longCalls) >= MAX_FAILURES_PER_CLASS) {
+            ahead.add(e.requirements);
             return;
         }
         // Removed first, because a call that is placed may fail immediately and be queued again.
@@ -195,6 +205,7 @@
         if (!tryPlace.test(e.call)) {
             e.hasFailed = true;
             waiting.put(e.call, e);
+            ahead.add(e.requirements);
             if (e.requirements.isShort()) {
                 counts.shortCalls++;
             } else {
--- a/src/main/java/org/jujuberouter/dispatch/CallRequirements.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallRequirements.java
@@ -127,7 +127,7 @@
      * part of the time in which it holds one of the slots. Calls of a service without a cost model differ only in their
      * objective.
      */
-    private double workMs(ServiceSpec declaration) {
+    double workMs(ServiceSpec declaration) {
         if (declaration.engine().isEmpty()) {
             return objectiveMs;
         }
--- a/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
@@ -40,11 +40,6 @@
     /** Time within which a queued call is tried again, including scheduling delays. */
     private static final double RETRY_INTERVAL_MS = 15;
 
-    /** Minimum retry delay returned to a caller whose call could not be placed, before jitter. */
-    private static final long NO_CAPACITY_RETRY_MS = 800;
-
-    private static final long NO_CAPACITY_RETRY_JITTER_MS = 800;
-
     /** Typical duration of a short stream, after which the streams of an engine have been replaced by others. */
     private static final double TYPICAL_STREAM_MS = 1_500;
 
@@ -70,10 +65,10 @@
     private static final double PEER_DISCOVERY_MS = 1_500;
 
     /** Numbers of parts into which a prompt may be split; an engine accepts at most 16 helpers. */
-    private static final int[] PART_COUNTS = {1, 2, 3, 4, 6, 8, 11, 14, 17};
+    static final int[] PART_COUNTS = {1, 2, 3, 4, 6, 8, 11, 14, 17};
 
     /** Minimum prefill time of a part; splitting into shorter parts is not worth the overhead. */
-    private static final double MIN_PART_MS = 60;
+    static final double MIN_PART_MS = 60;
 
     /** Remaining prefill time up to which an engine counts as free for short prompts. */
     private static final double MAX_FREE_PREFILL_MS = 100;
@@ -93,11 +88,13 @@
     private final EndpointRegistry registry;
     private final Ticker ticker;
     private final DomainPolicy domains;
+    private final WaitPolicy waits;
     private final long startedAt;
 
-    private CallScheduler(EndpointRegistry registry, Ticker ticker, DomainPolicy domains) {
+    private CallScheduler(EndpointRegistry registry, Ticker ticker, DomainPolicy domains, QueueMode queueMode) {
         this.registry = registry;
         this.domains = domains;
+        this.waits = new WaitPolicy(registry, queueMode);
         this.ticker = ticker;
         this.startedAt = ticker.nanos();
     }
@@ -109,7 +106,24 @@
 
     /** Returns a scheduler that places calls on the endpoints of the registry. */
     public static CallScheduler on(EndpointRegistry registry, Ticker ticker, DomainPolicy domains) {
-        return new CallScheduler(registry, ticker, domains);
+        return on(registry, ticker, domains, QueueMode.PREDICTED);
+    }
+
+    /** Returns a scheduler that places calls on the endpoints of the registry. */
+    public static CallScheduler on(
+            EndpointRegistry registry, Ticker ticker, DomainPolicy domains, QueueMode queueMode) {
+        return new CallScheduler(registry, ticker, domains, queueMode);
+    }
+
+    /** Sets the calls that go before the one that is being placed, for the prediction of its time. */
+    public CallScheduler behind(CallsAhead ahead) {
+        waits.setAhead(ahead);
+        return this;
+    }
+
+    /** Sets the number of instances that place calls on the same engines, including this one. */
+    public void setSharers(int instances) {
+        waits.setSharers(instances);
     }
 
     /**
@@ -143,19 +157,16 @@
         boolean yieldsLate = !requirements.canBeOnTime(waitedMs) && standing != CustomerStanding.KEPT_BELOW_SHARE;
         boolean yieldsDeferred =
                 standing == CustomerStanding.DEFERRED && service.engine().isPresent();
-        boolean yields = (yieldsLate || yieldsDeferred) && !waitExhausted;
-        EligibleEndpoints eligible = EligibleEndpoints.of(
-                registry.usable(requirements.service()), tried, domains, service.coldCallsPerSecond(), yields, now);
-        if (eligible.isNoneUsable()) {
-            return new PlacementDecision.Refuse(
-                    "no usable endpoint of " + requirements.service(), NO_ENDPOINT_RETRY_MS);
-        }
-        PlacementDecision decision = service.engine().isPresent() && requirements.promptTokens() > 0
-                ? placePrompt(requirements, service.engine().get(), eligible, waitedMs, now)
-                : placePlain(requirements, eligible);
-        if (decision instanceof PlacementDecision.Wait && waitExhausted) {
-            long jitterMs = Math.floorMod(requirements.id().hashCode(), NO_CAPACITY_RETRY_JITTER_MS);
-            return new PlacementDecision.Refuse("no place in time", NO_CAPACITY_RETRY_MS + jitterMs);
+        boolean yields = (yieldsLate || yieldsDeferred) && (!waitExhausted || waits.keepsLateCalls());
+        List<TrackedEndpoint> usable = registry.usable(requirements.service());
+        PlacementDecision decision = placeAmong(usable, requirements, service, tried, waitedMs, yields, now);
+        if (decision instanceof PlacementDecision.Wait wait) {
+            decision = waits.decide(requirements, service, tried, waitedMs, wait, waitExhausted, now);
+            if (yields && decision instanceof PlacementDecision.Refuse r && !WaitPolicy.isUnservable(r)) {
+                // Takes what it would have left to others rather than being rejected.
+                PlacementDecision last = placeAmong(usable, requirements, service, tried, waitedMs, false, now);
+                decision = last instanceof PlacementDecision.Send ? last : decision;
+            }
         }
         if (decision instanceof PlacementDecision.Send send) {
             send.endpoint().domain().recordPlaced(now);
@@ -164,6 +175,26 @@
         return decision;
     }
 
+    private PlacementDecision placeAmong(
+            List<TrackedEndpoint> usable,
+            CallRequirements requirements,
+            ServiceSpec service,
+            Set<EndpointId> tried,
+            double waitedMs,
+            boolean yields,
+            long now) {
+        EligibleEndpoints eligible =
+                EligibleEndpoints.of(usable, tried, domains, service.coldCallsPerSecond(), yields, now);
+        if (eligible.isNoneUsable()) {
+            return new PlacementDecision.Refuse(
+                    "no usable endpoint of " + requirements.service(),
+                    WaitPolicy.retryWithoutEndpointMs(requirements, waitedMs, NO_ENDPOINT_RETRY_MS));
+        }
+        return service.engine().isPresent() && requirements.promptTokens() > 0
+                ? placePrompt(requirements, service.engine().get(), eligible, waitedMs, now)
+                : placePlain(requirements, eligible);
+    }
+
     private PlacementDecision placePlain(CallRequirements requirements, EligibleEndpoints eligible) {
         List<TrackedEndpoint> candidates = eligible.candidates();
         Optional<TrackedEndpoint> best = candidates.stream()
--- a/src/main/java/org/jujuberouter/dispatch/EndpointLoad.java
+++ b/src/main/java/org/jujuberouter/dispatch/EndpointLoad.java
@@ -17,6 +17,9 @@
     /** Fraction of the current iteration for which a new call waits, slightly above the mean. */
     private static final double CURRENT_ITERATION_FRACTION = 0.7;
 
+    /** Fraction of the maximum length of an answer from which on it may end; callers state only the maximum. */
+    private static final double MIN_ANSWER_FRACTION = 0.5;
+
     private final List<ActiveAllocation> activeAllocations = new ArrayList<>();
     private long prefillingSince;
     private boolean slotFreed;
@@ -24,29 +27,80 @@
 
     private static final class ActiveAllocation {
         private final Allocation allocation;
+        private final double callPrefillMs;
+        private final long callTokens;
         private final long startedAt;
         private boolean prefilling;
+        private long decodingSince;
 
-        private ActiveAllocation(Allocation allocation, long startedAt) {
+        private ActiveAllocation(Allocation allocation, double callPrefillMs, long callTokens, long startedAt) {
             this.allocation = allocation;
+            this.callPrefillMs = callPrefillMs;
+            this.callTokens = callTokens;
             this.startedAt = startedAt;
             this.prefilling = allocation.prefillMs() > 0;
+            this.decodingSince = startedAt;
+        }
+
+        private void prefillDone(long now) {
+            if (prefilling) {
+                prefilling = false;
+                decodingSince = now;
+            }
         }
     }
 
-    void add(Allocation allocation, long now) {
+    /**
+     * Adds an allocation.
+     *
+     * @param callPrefillMs time to prefill the whole prompt, on all of its endpoints
+     * @param callTokens KV cache that the call uses on all of its endpoints, in tokens
+     */
+    void add(Allocation allocation, double callPrefillMs, long callTokens, long now) {
         if (prefillRemainingMs(now) <= 0) {
-            activeAllocations.forEach(active -> active.prefilling = false);
+            activeAllocations.forEach(active -> active.prefillDone(now));
             prefillingSince = now;
         }
-        activeAllocations.add(new ActiveAllocation(allocation, now));
+        activeAllocations.add(new ActiveAllocation(allocation, callPrefillMs, callTokens, now));
+    }
+
+    /** Predicts when the slots and the memory of the endpoint are freed. */
+    EngineTimeline timeline(EngineCostModel engine, int slots, long now) {
+        double remainingMs = prefillRemainingMs(now);
+        List<EngineTimeline.Release> releases = new ArrayList<>(activeAllocations.size());
+        for (ActiveAllocation active : activeAllocations) {
+            releases.add(release(active, engine, remainingMs, now));
+        }
+        return new EngineTimeline(
+                slots - slotsUsed(), PromptSplit.usableTokens(engine) - memoryTokens(), remainingMs, releases);
+    }
+
+    private static EngineTimeline.Release release(
+            ActiveAllocation active, EngineCostModel engine, double remainingMs, long now) {
+        Allocation allocation = active.allocation;
+        if (active.callPrefillMs <= 0) {
+            return new EngineTimeline.Release(
+                    0, Double.POSITIVE_INFINITY, allocation.holdsSlot(), allocation.memoryTokens());
+        }
+        long outputTokens = Math.max(1, active.callTokens - engine.promptTokens(active.callPrefillMs));
+        double iterations = Math.ceil(outputTokens / (double) engine.decodeStepsPerIteration());
+        double earliestMs = (active.startedAt - now) / NANOS_PER_MS
+                + allocation.prefillMs()
+                + iterations * MIN_ANSWER_FRACTION * engine.decodeIterationMs(1, 0);
+        double iterationMs = engine.decodeIterationMs(engine.slots(), engine.kvCapacityTokens());
+        double decodesFromMs = active.prefilling ? remainingMs : (active.decodingSince - now) / NANOS_PER_MS;
+        return new EngineTimeline.Release(
+                Math.max(0, earliestMs),
+                Math.max(iterationMs, decodesFromMs + iterations * iterationMs),
+                allocation.holdsSlot(),
+                allocation.memoryTokens());
     }
 
     void prefillDone(RequestId id, long now) {
         double remainingMs = prefillRemainingMs(now);
         for (ActiveAllocation active : activeAllocations) {
             if (active.allocation.id().equals(id)) {
-                active.prefilling = false;
+                active.prefillDone(now);
             }
         }
         double otherPrefillMs = totalPrefillMs();
--- a/src/main/java/org/jujuberouter/dispatch/EndpointRegistry.java
+++ b/src/main/java/org/jujuberouter/dispatch/EndpointRegistry.java
@@ -33,6 +33,7 @@
     private int groups = 1;
     private boolean groupsByDomain = true;
     private long orderings;
+    private long loadChanges;
     private final Map<RequestId, List<EndpointId>> endpointsByRequest = new LinkedHashMap<>();
 
     private EndpointRegistry(Ticker ticker) {
@@ -150,6 +151,11 @@
         return orderings;
     }
 
+    /** Returns how often allocations have been added or removed since the start. */
+    long loadChanges() {
+        return loadChanges;
+    }
+
     /** Returns the number of endpoints that are avoided because of recent failures. */
     public long backedOffCount() {
         long now = ticker.nanos();
@@ -159,13 +165,20 @@
     /** Adds the allocations of a call. */
     public void allocate(List<Allocation> allocations) {
         long now = ticker.nanos();
+        loadChanges++;
+        double callPrefillMs = 0;
+        long callTokens = 0;
+        for (Allocation allocation : allocations) {
+            callPrefillMs += allocation.prefillMs();
+            callTokens += allocation.memoryTokens();
+        }
         for (Allocation allocation : allocations) {
             endpointsByRequest
                     .computeIfAbsent(allocation.id(), _ -> new ArrayList<>())
                     .add(allocation.endpoint());
             TrackedEndpoint endpoint = endpoints.get(allocation.endpoint());
             if (endpoint != null) {
-                endpoint.load().add(allocation, now);
+                endpoint.load().add(allocation, callPrefillMs, callTokens, now);
                 endpoint.recordStart(now);
             }
         }
@@ -199,6 +212,7 @@
             return;
         }
         long now = ticker.nanos();
+        loadChanges++;
         for (EndpointId endpointId : allocated) {
             TrackedEndpoint endpoint = endpoints.get(endpointId);
             if (endpoint != null) {
--- a/src/main/java/org/jujuberouter/dispatch/PlacementDecision.java
+++ b/src/main/java/org/jujuberouter/dispatch/PlacementDecision.java
@@ -37,8 +37,13 @@
      *
      * @param reason explanation for the log
      * @param notAway why the call was not sent to another failure domain; empty if domains are ignored
+     * @param forecast when the call can be placed
      */
-    record Wait(String reason, String notAway) implements PlacementDecision {}
+    record Wait(String reason, String notAway, PlacementForecast forecast) implements PlacementDecision {
+        Wait(String reason, String notAway) {
+            this(reason, notAway, PlacementForecast.UNKNOWN);
+        }
+    }
 
     /**
      * The call is refused.
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -105,15 +105,14 @@
         this.loop = loop;
         this.codec = codec;
         this.log = GatewayLog.create();
-        this.scheduler = CallScheduler.on(
-                registry,
-                ticker,
-                DomainPolicy.of(options.domain(), options.features().domainMode()));
         long slackDelayMs = options.firstStart() ? 0 : options.bounds().retryWindowMs();
         this.fullSlackAt = ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(slackDelayMs);
         this.instanceCount = RecentMaximum.of(ticker, options.bounds().retryWindowMs(), 1);
         this.shares = options.features().fairSharing() ? FairShare.of(ticker) : FairShare.recordedOnly(ticker);
         this.waitQueue = CallQueue.sharedBy(shares, ticker);
+        DomainPolicy domains =
+                DomainPolicy.of(options.domain(), options.features().domainMode());
+        this.scheduler = CallScheduler.on(registry, ticker, domains).behind(waitQueue.ahead());
         this.demandMeter = DemandMeter.of(options.domain());
         this.stopSchedule = StopSchedule.of(ticker, options.bounds().stopMs());
         Ticker wallClock = () -> TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
@@ -270,6 +269,7 @@
     /** Records the number of instances, including this one. */
     void setInstanceCount(int count) {
         instanceCount.set(count);
+        scheduler.setSharers(count / Math.max(1, groupCount()));
     }
 
     boolean tryRetry(ServiceName service) {
