Keep engines for waiting large prompts, off by default

Change: with JUJUBEROUTER_RESERVATIONS=on a waiting large prompt marks as many engines as its tokens need, and this instance places no smaller call there unless it ends before. One reservation a call, at most a quarter of the engines; it ends with the call, or 300 ms after the call was last tried. It is local and adds no message. engine_reservations_total counts them.

QueueingTest, CallQueue, CallScheduler and ModuleBoundaries tests passed.

--- a/src/main/java/org/jujuberouter/cli/ServeCommand.java
+++ b/src/main/java/org/jujuberouter/cli/ServeCommand.java
@@ -32,6 +32,8 @@
     private static final String DOMAINS_VARIABLE = "JUJUBEROUTER_DOMAINS";
 
     /** Environment variable that turns fair sharing among customers on or off. */
+    private static final String RESERVATIONS_VARIABLE = "JUJUBEROUTER_RESERVATIONS";
+
     private static final String FAIR_SHARING_VARIABLE = "JUJUBEROUTER_FAIR_SHARING";
 
     /** Environment variable that lets the leader order engines or not. */
@@ -92,6 +94,7 @@
                 Map.entry("domains", options.features().domainMode()),
                 Map.entry("fair_sharing", options.features().fairSharing()),
                 Map.entry("autoscaling", options.features().autoscaling()),
+                Map.entry("reservations", options.features().reservations()),
                 Map.entry("bounds", options.bounds()));
         // Signals may arrive as soon as callers can connect, so the handlers are installed first.
         SighupHandler.setAction(() -> rereadSettings(file, options));
@@ -120,8 +123,8 @@
     private GatewayOptions applyEnvironment(GatewayOptions nodeOptions) throws IOException {
         try {
             DomainMode mode = DomainMode.of(System.getenv().getOrDefault(DOMAINS_VARIABLE, "any"));
-            OptionalFeatures features =
-                    new OptionalFeatures(mode, isOn(FAIR_SHARING_VARIABLE), isOn(AUTOSCALING_VARIABLE));
+            OptionalFeatures features = new OptionalFeatures(
+                    mode, isOn(FAIR_SHARING_VARIABLE), isOn(AUTOSCALING_VARIABLE), isOn(RESERVATIONS_VARIABLE));
             return applyMetricsPort(nodeOptions.withFeatures(features));
         } catch (IllegalArgumentException e) {
             throw new IOException(DOMAINS_VARIABLE + ": " + e.getMessage(), e);
--- a/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
@@ -89,12 +89,15 @@
     private final Ticker ticker;
     private final DomainPolicy domains;
     private final WaitPolicy waits;
+    private final EngineReservations reservations = new EngineReservations();
+    private final boolean reserves;
     private final long startedAt;
 
     private CallScheduler(EndpointRegistry registry, Ticker ticker, DomainPolicy domains, QueueMode queueMode) {
         this.registry = registry;
         this.domains = domains;
         this.waits = new WaitPolicy(registry, queueMode);
+        this.reserves = queueMode == QueueMode.RESERVED;
         this.ticker = ticker;
         this.startedAt = ticker.nanos();
     }
@@ -121,6 +124,11 @@
         return this;
     }
 
+    /** Returns the engines that are kept for the largest prompts. */
+    public EngineReservations reservations() {
+        return reservations;
+    }
+
     /** Sets the number of instances that place calls on the same engines, including this one. */
     public void setSharers(int instances) {
         waits.setSharers(instances);
@@ -159,7 +167,11 @@
                 standing == CustomerStanding.DEFERRED && service.engine().isPresent();
         boolean yields = (yieldsLate || yieldsDeferred) && (!waitExhausted || waits.keepsLateCalls());
         List<TrackedEndpoint> usable = registry.usable(requirements.service());
-        PlacementDecision decision = placeAmong(usable, requirements, service, tried, waitedMs, yields, now);
+        List<TrackedEndpoint> open = reservations.open(usable, requirements, service, now);
+        PlacementDecision decision = placeAmong(open, requirements, service, tried, waitedMs, yields, now);
+        if (open != usable && !(decision instanceof PlacementDecision.Send) && reservations.isWorthMore(requirements)) {
+            decision = placeAmong(usable, requirements, service, tried, waitedMs, yields, now);
+        }
         if (decision instanceof PlacementDecision.Wait wait) {
             decision = waits.decide(requirements, service, tried, waitedMs, wait, waitExhausted, now);
             if (yields && decision instanceof PlacementDecision.Refuse r && !WaitPolicy.isUnservable(r)) {
@@ -168,6 +180,11 @@
                 decision = last instanceof PlacementDecision.Send ? last : decision;
             }
         }
+        if (reserves && decision instanceof PlacementDecision.Wait) {
+            service.engine().ifPresent(engine -> reservations.reserve(requirements, engine, usable, now));
+        } else {
+            reservations.end(requirements.id(), decision instanceof PlacementDecision.Send);
+        }
         if (decision instanceof PlacementDecision.Send send) {
             send.endpoint().domain().recordPlaced(now);
             send.helpers().forEach(h -> h.domain().recordPlaced(now));
--- a/src/main/java/org/jujuberouter/dispatch/QueueMode.java
+++ b/src/main/java/org/jujuberouter/dispatch/QueueMode.java
@@ -5,5 +5,7 @@
     /** A call waits for a fixed fraction of its caller's timeout. */
     BY_AGE,
     /** A call waits while it is predicted that it can be served. */
-    PREDICTED
+    PREDICTED,
+    /** As {@link #PREDICTED}, and engines are kept for the largest prompts. */
+    RESERVED
 }
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -35,6 +35,7 @@
 import org.jujuberouter.dispatch.EndpointRegistry;
 import org.jujuberouter.dispatch.FairShare;
 import org.jujuberouter.dispatch.PlacementDecision;
+import org.jujuberouter.dispatch.QueueMode;
 import org.jujuberouter.dispatch.RetryLimiter;
 import org.jujuberouter.dispatch.StopSchedule;
 import org.jujuberouter.dispatch.StoreFreshness;
@@ -112,7 +113,8 @@
         this.waitQueue = CallQueue.sharedBy(shares, ticker);
         DomainPolicy domains =
                 DomainPolicy.of(options.domain(), options.features().domainMode());
-        this.scheduler = CallScheduler.on(registry, ticker, domains).behind(waitQueue.ahead());
+        QueueMode queueMode = options.features().reservations() ? QueueMode.RESERVED : QueueMode.PREDICTED;
+        this.scheduler = CallScheduler.on(registry, ticker, domains, queueMode).behind(waitQueue.ahead());
         this.demandMeter = DemandMeter.of(options.domain());
         this.stopSchedule = StopSchedule.of(ticker, options.bounds().stopMs());
         Ticker wallClock = () -> TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
@@ -123,6 +125,7 @@
         metrics.gauge("calls_running", running::size);
         metrics.gauge("calls_waiting", waitQueue::size);
         metrics.gauge("calls_deferred_total", shares::deferredCalls);
+        metrics.engineReservations(scheduler.reservations());
         metrics.shares(shares);
         metrics.gauge("caller_connections", connections::size);
         metrics.gauge("memory_releases_pending", () -> memoryReleases);
--- a/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayMetrics.java
@@ -2,6 +2,7 @@
 
 import java.util.function.LongSupplier;
 import org.jujuberouter.dispatch.AwayReason;
+import org.jujuberouter.dispatch.EngineReservations;
 import org.jujuberouter.dispatch.FairShare;
 import org.jujuberouter.error.ExecutionOutcome;
 import org.jujuberouter.id.CustomerId;
@@ -107,6 +108,13 @@
         metrics.gauge(name, labels, value::getAsLong);
     }
 
+    /** Renders how many reservations of engines for large prompts were made, used and given up. */
+    void engineReservations(EngineReservations reservations) {
+        gauge("engine_reservations_total", "event=\"made\"", reservations::made);
+        gauge("engine_reservations_total", "event=\"used\"", reservations::used);
+        gauge("engine_reservations_total", "event=\"released\"", reservations::released);
+    }
+
     void removeGauges(String name) {
         metrics.removeGauges(name);
     }
--- a/src/test/java/org/jujuberouter/dispatch/QueueingTest.java
+++ b/src/test/java/org/jujuberouter/dispatch/QueueingTest.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.jujuberouter.catalog.DomainNetwork;
@@ -114,6 +115,82 @@
         }
     }
 
+    /** A large prompt needs two engines whose memory short calls would otherwise take as soon as it is freed. */
+    @Test
+    void keepsEnginesForALargePromptUntilItEnds() {
+        CallScheduler reserving =
+                CallScheduler.on(registry, ticker, DomainPolicy.ignoringDomains(), QueueMode.RESERVED);
+        registerEngines(8);
+        for (int i = 0; i < 8; i++) {
+            fillEngine("e" + i);
+        }
+        CallRequirements large = call("large", 300_000, 10_000);
+        assertInstanceOf(PlacementDecision.Wait.class, reserving.place(large, SPEC, Set.of(), 0));
+        assertInstanceOf(
+                PlacementDecision.Wait.class,
+                reserving.place(call("second", 300_000, 10_000), SPEC, Set.of(), 0),
+                "at most two of eight engines are kept");
+        for (int i = 0; i < 8; i++) {
+            registry.release(RequestId.of("e" + i + "0"));
+        }
+        Set<EndpointId> taken = new HashSet<>();
+        while (reserving.place(call("s" + taken.size(), 5_000, 2_000), SPEC, Set.of(), 0)
+                instanceof PlacementDecision.Send send) {
+            registry.allocate(send.allocations());
+            taken.add(send.endpoint().registration().id());
+        }
+        assertEquals(6, taken.size(), "engines that short calls take: " + taken);
+        assertEquals(1, reserving.reservations().made());
+        assertInstanceOf(
+                PlacementDecision.Refuse.class, reserving.place(large, SPEC, Set.of(), 9_900), "it ends as rejected");
+        assertInstanceOf(
+                PlacementDecision.Send.class, reserving.place(call("t", 5_000, 2_000), SPEC, Set.of(), 0), "released");
+        assertEquals(1, reserving.reservations().released());
+    }
+
+    /** A caller disconnects while engines are kept for its call, which is not tried again. */
+    @Test
+    void endsAReservationWhoseCallIsNotTriedAgain() {
+        CallScheduler reserving =
+                CallScheduler.on(registry, ticker, DomainPolicy.ignoringDomains(), QueueMode.RESERVED);
+        registerEngines(8);
+        for (int i = 0; i < 8; i++) {
+            fillEngine("e" + i);
+        }
+        assertInstanceOf(
+                PlacementDecision.Wait.class, reserving.place(call("large", 300_000, 10_000), SPEC, Set.of(), 0));
+        ticker.advance(Duration.ofMillis(301));
+        reserving.place(call("s", 5_000, 2_000), SPEC, Set.of(), 0);
+        assertEquals(1, reserving.reservations().released());
+        assertEquals(0, reserving.reservations().used());
+    }
+
+    /**
+     * Short calls arrive at 0.9 of capacity. A large prompt is placed within the time of a short call's answer on an engine
+     * whose slots and memory are all in use, and the gap objective of a long prompt's stream that is being prefilled.
+     */
+    @Test
+    void placesALargePromptWithinABoundedTimeUnderContinuousLoad() {
+        double boundMs = 21 * ENGINE.decodeIterationMs(11, 232_000) + 1_000;
+        double[] longestMs = new double[QueueMode.values().length];
+        for (QueueMode mode : List.of(QueueMode.PREDICTED, QueueMode.RESERVED)) {
+            for (long seed = 0; seed < SEEDS; seed++) {
+                DomainSimulation s =
+                        new DomainSimulation(seed, DomainMode.ANY, mode, 1, 12, 0.02, 0.0015, 70).run(6_000);
+                for (DomainSimulation.Call c : s.calls) {
+                    if (c.requirements.promptTokens() >= 260_000) {
+                        double waitedMs = Double.isNaN(c.placedMs) ? 10_000 : c.placedMs - c.arrivedMs;
+                        longestMs[mode.ordinal()] = Math.max(longestMs[mode.ordinal()], waitedMs);
+                    }
+                }
+            }
+        }
+        String figures = "longest wait with reservations " + longestMs[QueueMode.RESERVED.ordinal()] + ", without "
+                + longestMs[QueueMode.PREDICTED.ordinal()];
+        assertTrue(longestMs[QueueMode.RESERVED.ordinal()] <= boundMs, figures);
+        assertTrue(longestMs[QueueMode.PREDICTED.ordinal()] > boundMs, figures + ": the load shows no difference");
+    }
+
     private static DomainSimulation simulate(long seed, QueueMode mode, double rate) {
         return new DomainSimulation(seed, DomainMode.ANY, mode, 3, 5, 0.02, 0.005, rate).run(6_000);
     }
@@ -124,7 +201,7 @@
         double[] rates = {15, 35, 50};
         double[][] value = new double[2][rates.length];
         int[] beside = new int[2];
-        for (QueueMode mode : QueueMode.values()) {
+        for (QueueMode mode : List.of(QueueMode.BY_AGE, QueueMode.PREDICTED)) {
             for (int i = 0; i < rates.length; i++) {
                 for (long seed = 0; seed < SEEDS; seed++) {
                     DomainSimulation s = simulate(seed, mode, rates[i]);
