Name what a rejected call lacks

Cause: "no engine with a slot and memory" did not tell on call whether slots, memory or engines were lacking.

Change: the reason of a rejection names a free slot, memory for a number of tokens on a number of engines, or the number of engines. The class before the colon, by which refusals_total counts, is unchanged.

--- a/src/main/java/org/jujuberouter/dispatch/CapacityForecast.java
+++ b/src/main/java/org/jujuberouter/dispatch/CapacityForecast.java
@@ -54,6 +54,30 @@
         return best;
     }
 
+    /** Returns what a call lacks that cannot be placed, or the given text if slots and memory are not lacking. */
+    String missing(CallRequirements call, String otherwise) {
+        PromptSplit split = PromptSplit.fewest(call, engine);
+        int withSlot = 0;
+        int withMemory = 0;
+        int withBoth = 0;
+        for (EngineTimeline t : timelines) {
+            boolean memory = t.hasFreeMemory(split.minTokens());
+            withSlot += t.hasFreeSlot() ? 1 : 0;
+            withMemory += memory ? 1 : 0;
+            withBoth += memory && t.hasFreeSlot() ? 1 : 0;
+        }
+        if (timelines.size() < split.parts()) {
+            return "needs " + split.parts() + " engines";
+        }
+        if (withSlot == 0) {
+            return "no free slot";
+        }
+        if (withMemory < split.parts()) {
+            return "no memory for " + split.minTokens() + " tokens on " + split.parts() + " engine(s)";
+        }
+        return withBoth == 0 ? "no engine with a slot and memory for " + split.minTokens() + " tokens" : otherwise;
+    }
+
     private static PlacementForecast min(PlacementForecast a, PlacementForecast b) {
         return new PlacementForecast(
                 Math.min(a.earliestMs(), b.earliestMs()),
--- a/src/main/java/org/jujuberouter/dispatch/EngineReservations.java
+++ b/src/main/java/org/jujuberouter/dispatch/EngineReservations.java
@@ -93,7 +93,7 @@
             maxEngines -= r.call.service().equals(call.service()) ? r.engines.size() : 0;
             kept.addAll(r.engines);
         }
-        int parts = fewestParts(call, engine);
+        int parts = PromptSplit.fewest(call, engine).parts();
         if (parts > maxEngines) {
             return;
         }
@@ -119,16 +119,6 @@
 
     private record IdleAt(TrackedEndpoint endpoint, double idleMs) {}
 
-    /** Returns the smallest number of engines whose memory holds a call. */
-    private static int fewestParts(CallRequirements call, EngineCostModel engine) {
-        for (int parts : CallScheduler.PART_COUNTS) {
-            if (PromptSplit.of(call, engine, parts).minTokens() <= PromptSplit.usableTokens(engine)) {
-                return parts;
-            }
-        }
-        return Integer.MAX_VALUE;
-    }
-
     /** Ends the reservation of a call that has been sent or rejected. */
     void end(RequestId call, boolean sent) {
         if (!reservations.isEmpty() && reservations.remove(call) != null) {
--- a/src/main/java/org/jujuberouter/dispatch/EngineTimeline.java
+++ b/src/main/java/org/jujuberouter/dispatch/EngineTimeline.java
@@ -32,6 +32,14 @@
         byLatest.sort(Comparator.comparingDouble(Release::latestMs));
     }
 
+    boolean hasFreeSlot() {
+        return freeSlots > 0;
+    }
+
+    boolean hasFreeMemory(long tokens) {
+        return freeTokens >= tokens;
+    }
+
     double prefillRemainingMs() {
         return prefillRemainingMs;
     }
--- a/src/main/java/org/jujuberouter/dispatch/PromptSplit.java
+++ b/src/main/java/org/jujuberouter/dispatch/PromptSplit.java
@@ -24,6 +24,18 @@
                 : new PromptSplit(parts, prefillMs, tokens, 0, false);
     }
 
+    /** Returns the split over the smallest number of engines whose memory holds the call, or over the largest number. */
+    static PromptSplit fewest(CallRequirements requirements, EngineCostModel engine) {
+        PromptSplit split = null;
+        for (int parts : CallScheduler.PART_COUNTS) {
+            split = of(requirements, engine, parts);
+            if (split.minTokens() <= usableTokens(engine)) {
+                break;
+            }
+        }
+        return split;
+    }
+
     /** Returns the KV cache that an engine needs at least to take a part, in tokens. */
     long minTokens() {
         return parts == 1 ? responderTokens : helperTokens;
--- a/src/main/java/org/jujuberouter/dispatch/WaitPolicy.java
+++ b/src/main/java/org/jujuberouter/dispatch/WaitPolicy.java
@@ -94,7 +94,15 @@
         return reason.isEmpty()
                 ? new PlacementDecision.Wait(wait.reason(), wait.notAway(), forecast)
                 : new PlacementDecision.Refuse(
-                        reason + wait.reason(), retryAfterMs(call, service, forecast, remainingMs, now));
+                        reason + missing(call, service, tried, wait, now),
+                        retryAfterMs(call, service, forecast, remainingMs, now));
+    }
+
+    private String missing(
+            CallRequirements call, ServiceSpec service, Set<EndpointId> tried, PlacementDecision.Wait wait, long now) {
+        return service.engine().isEmpty() || call.promptTokens() <= 0
+                ? wait.reason()
+                : capacity(service.engine().get(), call.service(), tried, now).missing(call, wait.reason());
     }
 
     private String whyRejected(
--- a/src/test/java/org/jujuberouter/dispatch/QueueingTest.java
+++ b/src/test/java/org/jujuberouter/dispatch/QueueingTest.java
@@ -95,10 +95,37 @@
         assertTrue(forecast(call("kept", 300_000, 10_000)).firstEventMs() < 10_000);
         PlacementDecision.Refuse refuse = assertInstanceOf(
                 PlacementDecision.Refuse.class, scheduler.place(call("big", 300_000, 3_000), SPEC, Set.of(), 0));
-        assertTrue(refuse.reason().startsWith("cannot be served before its deadline: "), refuse.reason());
+        assertEquals("cannot be served before its deadline: no free slot", refuse.reason());
         assertTrue(refuse.retryAfterMs() <= 1_000, "a third of 3 s: " + refuse.retryAfterMs());
     }
 
+    /** On call, a rejection for lack of memory must not look like one for lack of slots. */
+    @Test
+    void namesTheMemoryOrTheEnginesThatARejectedCallLacks() {
+        registerEngines(2);
+        for (int i = 0; i < 2; i++) {
+            registry.allocate(List.of(new Allocation(
+                    RequestId.of("l" + i),
+                    EndpointId.of("e" + i),
+                    true,
+                    ENGINE.prefillMs(99_000),
+                    99_700,
+                    2_500,
+                    0,
+                    5)));
+        }
+        assertEquals(
+                "cannot be served before its deadline: no memory for 150351 tokens on 2 engine(s)", reason(300_000));
+        assertEquals("cannot be served before its deadline: needs 3 engines", reason(600_000));
+    }
+
+    private String reason(long tokens) {
+        return assertInstanceOf(
+                        PlacementDecision.Refuse.class,
+                        scheduler.place(call("c" + tokens, tokens, 1_000), SPEC, Set.of(), 0))
+                .reason();
+    }
+
     /** Callers that are rejected at once must not return at once. */
     @Test
     void spreadsReturningCallersAtTheRateOfFreedCapacityTheMostValuableFirst() {
