--- a/src/test/java/org/jujuberouter/dispatch/DomainSimulation.java
+++ b/src/test/java/org/jujuberouter/dispatch/DomainSimulation.java
@@ -54,7 +54,6 @@
     private int eventCount;
     private final QueueMode queueMode;
     private final double hugeFraction;
-    int returns;
     int rejectedBesideIdleEngine;
 
     private record Event(double atMs, int number, Runnable action) implements Comparable<Event> {
@@ -293,7 +292,6 @@
             return;
         }
         at(now() + afterMs, () -> {
-            returns++;
             CallRequirements r = call.requirements;
             call.requirements = new CallRequirements(
                     r.id(), SERVICE, r.promptTokens(), r.outputTokens(), r.objectiveMs(), r.gapObjectiveMs(), (long)
--- a/src/test/java/org/jujuberouter/dispatch/QueueingTest.java
+++ b/src/test/java/org/jujuberouter/dispatch/QueueingTest.java
@@ -32,6 +32,8 @@
     private final EndpointRegistry registry = EndpointRegistry.empty(ticker);
     private final CallsAhead ahead = new CallsAhead();
     private final CallScheduler scheduler = CallScheduler.on(registry, ticker).behind(ahead);
+    private final CallScheduler reserving =
+            CallScheduler.on(registry, ticker, DomainPolicy.ignoringDomains(), QueueMode.RESERVED);
 
     private void registerEngines(int count) {
         for (int i = 0; i < count; i++) {
@@ -54,13 +56,16 @@
                 : new CallRequirements(RequestId.of(id), SERVICE, tokens, 900, 300, 250, callerTimeoutMs);
     }
 
-    private void fillEngine(String engine) {
-        for (int i = 0; i < 11; i++) {
-            RequestId id = RequestId.of(engine + i);
-            registry.allocate(List.of(
-                    new Allocation(id, EndpointId.of(engine), true, ENGINE.prefillMs(5_000), 5_900, 300, 250, 0.75)));
-            ticker.advance(Duration.ofMillis(30));
-            registry.prefillDone(id);
+    private void registerFullEngines(int count) {
+        registerEngines(count);
+        for (int i = 0; i < count; i++) {
+            for (int k = 0; k < 11; k++) {
+                RequestId id = RequestId.of("e" + i + k);
+                registry.allocate(List.of(new Allocation(
+                        id, EndpointId.of("e" + i), true, ENGINE.prefillMs(5_000), 5_900, 300, 250, 0.75)));
+                ticker.advance(Duration.ofMillis(30));
+                registry.prefillDone(id);
+            }
         }
     }
 
@@ -72,8 +77,7 @@
     /** All slots are taken: the first stream ends after 21 iterations of 43 steps at the latest. */
     @Test
     void predictsWhenASlotIsFreedAndWhenTheCallsAheadHaveTakenOne() {
-        registerEngines(1);
-        fillEngine("e0");
+        registerFullEngines(1);
         double streamMs = 21 * ENGINE.decodeIterationMs(11, 11 * 5_900);
         PlacementForecast first = forecast(call("s", 5_000, 4_000));
         assertTrue(first.earliestMs() < streamMs - 330 && first.latestMs() >= streamMs - 330, first + ", " + streamMs);
@@ -89,9 +93,7 @@
     /** A prompt whose caller leaves before any engine could answer it must not be held for most of that time. */
     @Test
     void rejectsAtOnceWhatCannotBeServedBeforeItsDeadline() {
-        registerEngines(2);
-        fillEngine("e0");
-        fillEngine("e1");
+        registerFullEngines(2);
         assertTrue(forecast(call("kept", 300_000, 10_000)).firstEventMs() < 10_000);
         PlacementDecision.Refuse refuse = assertInstanceOf(
                 PlacementDecision.Refuse.class, scheduler.place(call("big", 300_000, 3_000), SPEC, Set.of(), 0));
@@ -145,12 +147,7 @@
     /** A large prompt needs two engines whose memory short calls would otherwise take as soon as it is freed. */
     @Test
     void keepsEnginesForALargePromptUntilItEnds() {
-        CallScheduler reserving =
-                CallScheduler.on(registry, ticker, DomainPolicy.ignoringDomains(), QueueMode.RESERVED);
-        registerEngines(8);
-        for (int i = 0; i < 8; i++) {
-            fillEngine("e" + i);
-        }
+        registerFullEngines(8);
         CallRequirements large = call("large", 300_000, 10_000);
         assertInstanceOf(PlacementDecision.Wait.class, reserving.place(large, SPEC, Set.of(), 0));
         assertInstanceOf(
@@ -178,12 +175,7 @@
     /** A caller disconnects while engines are kept for its call, which is not tried again. */
     @Test
     void endsAReservationWhoseCallIsNotTriedAgain() {
-        CallScheduler reserving =
-                CallScheduler.on(registry, ticker, DomainPolicy.ignoringDomains(), QueueMode.RESERVED);
-        registerEngines(8);
-        for (int i = 0; i < 8; i++) {
-            fillEngine("e" + i);
-        }
+        registerFullEngines(8);
         assertInstanceOf(
                 PlacementDecision.Wait.class, reserving.place(call("large", 300_000, 10_000), SPEC, Set.of(), 0));
         ticker.advance(Duration.ofMillis(301));
@@ -218,10 +210,6 @@
         assertTrue(longestMs[QueueMode.PREDICTED.ordinal()] > boundMs, figures + ": the load shows no difference");
     }
 
-    private static DomainSimulation simulate(long seed, QueueMode mode, double rate) {
-        return new DomainSimulation(seed, DomainMode.ANY, mode, 3, 5, 0.02, 0.005, rate).run(6_000);
-    }
-
     /** Summed value under normal load, near capacity and in overload, and engines idle beside rejected calls. */
     @Test
     void losesNoValueToRejectionByAgeAndRejectsNothingBesideAnIdleEngine() {
@@ -231,7 +219,8 @@
         for (QueueMode mode : List.of(QueueMode.BY_AGE, QueueMode.PREDICTED)) {
             for (int i = 0; i < rates.length; i++) {
                 for (long seed = 0; seed < SEEDS; seed++) {
-                    DomainSimulation s = simulate(seed, mode, rates[i]);
+                    DomainSimulation s =
+                            new DomainSimulation(seed, DomainMode.ANY, mode, 3, 5, 0.02, 0.005, rates[i]).run(6_000);
                     value[mode.ordinal()][i] += s.calls.stream()
                             .mapToDouble(DomainSimulation.Call::value)
                             .sum();
