--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -31,7 +31,6 @@
 import org.jujuberouter.dispatch.CallRequirements;
 import org.jujuberouter.dispatch.CallScheduler;
 import org.jujuberouter.dispatch.CustomerStanding;
-import org.jujuberouter.dispatch.DomainPolicy;
 import org.jujuberouter.dispatch.EndpointRegistry;
 import org.jujuberouter.dispatch.FairShare;
 import org.jujuberouter.dispatch.PlacementDecision;
@@ -69,7 +68,7 @@
     private final MemoryReservations reservations;
     private final EndpointProbe probe;
     private final Ticker ticker = Ticker.system();
-    private final GatewayLog log;
+    private final GatewayLog log = GatewayLog.create();
     private final GatewayMetrics metrics = GatewayMetrics.ofProcess();
     private final InstanceOverload overload;
     private final StoreFreshness storeFreshness;
@@ -105,25 +104,24 @@
         this.options = options;
         this.loop = loop;
         this.codec = codec;
-        this.log = GatewayLog.create();
-        this.scheduler = CallScheduler.on(
-                registry,
-                ticker,
-                DomainPolicy.of(options.domain(), options.features().domainMode()));
+        OptionalFeatures features = options.features();
         long slackDelayMs = options.firstStart() ? 0 : options.bounds().retryWindowMs();
         this.fullSlackAt = ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(slackDelayMs);
         this.instanceCount = RecentMaximum.of(ticker, options.bounds().retryWindowMs(), 1);
-        this.shares = options.features().fairSharing() ? FairShare.of(ticker) : FairShare.recordedOnly(ticker);
+        this.shares = features.fairSharing() ? FairShare.of(ticker) : FairShare.recordedOnly(ticker);
         this.waitQueue = CallQueue.sharedBy(shares, ticker);
+        this.scheduler = CallScheduler.on(
+                        registry, ticker, features.domainPolicy(options.domain()), features.queueMode())
+                .behind(waitQueue.ahead());
         this.demandMeter = DemandMeter.of(options.domain());
         this.stopSchedule = StopSchedule.of(ticker, options.bounds().stopMs());
         Ticker wallClock = () -> TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
-        this.storeFreshness =
-                StoreFreshness.of(ticker, wallClock, options.bounds().keyRevocationMs());
-        this.viewFreshness =
-                StoreFreshness.of(ticker, wallClock, options.bounds().keyRevocationMs());
+        long keysMs = options.bounds().keyRevocationMs();
+        this.storeFreshness = StoreFreshness.of(ticker, wallClock, keysMs);
+        this.viewFreshness = StoreFreshness.of(ticker, wallClock, keysMs);
         metrics.gauge("calls_running", running::size);
         metrics.gauge("calls_waiting", waitQueue::size);
+        metrics.engineReservations(scheduler.reservations());
         metrics.shares(shares);
         metrics.gauge("caller_connections", connections::size);
         metrics.gauge("memory_releases_pending", () -> memoryReleases);
@@ -271,6 +269,7 @@
     /** Records the number of instances, including this one. */
     void setInstanceCount(int count) {
         instanceCount.set(count);
+        scheduler.setSharers(count / Math.max(1, groupCount()));
     }
 
     boolean tryRetry(ServiceName service) {
