--- a/src/test/java/org/jujuberouter/gateway/OverloadedInstanceTest.java
+++ b/src/test/java/org/jujuberouter/gateway/OverloadedInstanceTest.java
@@ -50,7 +50,7 @@
         Path file = files.resolve("first.json");
         base = URI.create(
                 "http://127.0.0.1:" + site.writeNodeFile(file, "first").getPort());
-        OptionalFeatures features = new OptionalFeatures(DomainMode.ANY, false, false, overload);
+        OptionalFeatures features = new OptionalFeatures(DomainMode.ANY, false, false, overload, false);
         loop = GatewayDaemon.start(NodeFile.read(file).withFeatures(features), HttpPlatformAdapter.create())
                 .loop();
         awaitServed();
