--- a/src/test/java/org/jujuberouter/gateway/EndpointWishesTest.java
+++ b/src/test/java/org/jujuberouter/gateway/LeavingEndpointTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** Endpoints state in their responses that they shut down or want a pause; requests were sent to them nevertheless. */
-class EndpointWishesTest {
+class LeavingEndpointTest {
     private static final int CALLS = 20;
 
     private StandinSite site;
