Simplify the prediction of when queued calls are placed

The loops for the earliest and the latest time of an engine differ only in the list and the field. The queue counted its failures in a class of its own beside the counts by service and length that CallsAhead keeps; both use CallCounts now. WaitPolicy looked for the forecast again for the text of a rejection, and built it twice for calls that have tried an engine; CallScheduler told rejections apart by their text, which is a component of Refuse now. No decision changes; QueueingTest, CallSchedulerTest, CallQueueTest, the tests of fair sharing and DomainPlacementTest pass unchanged but for the name of the class.

--- a/src/main/java/org/jujuberouter/dispatch/CallsAhead.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallCounts.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 import org.jujuberouter.id.ServiceName;
 
-/** Counts the calls that go before the one that is being placed, as of the current pass over the queue. */
-public final class CallsAhead {
+/** Numbers of short and of long calls by service. */
+public final class CallCounts {
     private final Map<ServiceName, Counts> byService = new HashMap<>();
 
     private static final class Counts {
@@ -13,12 +13,10 @@
         private int longCalls;
     }
 
-    /** Starts a pass over the queue. */
-    void begin() {
+    void clear() {
         byService.clear();
     }
 
-    /** Records that a call stays in the queue. */
     void add(CallRequirements call) {
         Counts counts = byService.computeIfAbsent(call.service(), _ -> new Counts());
         if (call.isShort()) {
@@ -28,7 +26,7 @@
         }
     }
 
-    /** Returns the number of calls of the same service and length that go before the given call. */
+    /** Returns the number of calls of the same service and length as the given one. */
     int of(CallRequirements call) {
         Counts counts = byService.get(call.service());
         if (counts == null) {
--- a/src/main/java/org/jujuberouter/dispatch/CallQueue.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallQueue.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,7 +34,7 @@
 
     private final Ticker ticker;
     private final FairShare shares;
-    private final CallsAhead ahead = new CallsAhead();
+    private final CallCounts ahead = new CallCounts();
     private final Map<C, Entry<C>> waiting = new LinkedHashMap<>();
 
     private static final class Entry<C> {
@@ -75,12 +74,6 @@
         }
     }
 
-    /** Counts of calls that could not be placed in one pass. */
-    private static final class Failures {
-        private int shortCalls;
-        private int longCalls;
-    }
-
     private CallQueue(Ticker ticker, FairShare shares) {
         this.ticker = ticker;
         this.shares = shares;
@@ -115,8 +108,8 @@
         return count;
     }
 
-    /** Returns the calls that go before the one that is being placed. */
-    public CallsAhead ahead() {
+    /** Returns the calls that go before the one that is being placed, as of the current pass over the queue. */
+    public CallCounts ahead() {
         return ahead;
     }
 
@@ -132,23 +125,20 @@
      */
     public void dispatch(Predicate<C> tryPlace) {
         List<Entry<C>> order = inOrder();
-        ahead.begin();
+        ahead.clear();
         int onTime = 0;
         while (onTime < order.size() && !order.get(onTime).isLate()) {
             onTime++;
         }
-        Map<ServiceName, Failures> failures = new HashMap<>();
-        Map<ServiceName, Failures> failuresBehind = new HashMap<>();
+        CallCounts failures = new CallCounts();
+        CallCounts failuresBehind = new CallCounts();
         placeByShare(order.subList(0, onTime), failures, failuresBehind, tryPlace);
         placeByShare(order.subList(onTime, order.size()), failures, failuresBehind, tryPlace);
     }
 
     /** Places the calls of customers above their share behind the others, in the given order otherwise. */
     private void placeByShare(
-            List<Entry<C>> order,
-            Map<ServiceName, Failures> failures,
-            Map<ServiceName, Failures> failuresBehind,
-            Predicate<C> tryPlace) {
+            List<Entry<C>> order, CallCounts failures, CallCounts failuresBehind, Predicate<C> tryPlace) {
         List<Entry<C>> behind = new ArrayList<>();
         for (Entry<C> e : order) {
             // Tested in turn, because a customer can exceed its share through a call placed in the same round.
@@ -191,12 +181,11 @@
         return order;
     }
 
-    private void place(Entry<C> e, Map<ServiceName, Failures> failures, Predicate<C> tryPlace) {
-        Failures counts = failures.computeIfAbsent(e.requirements.service(), _ -> new Failures());
+    private void place(Entry<C> e, CallCounts failures, Predicate<C> tryPlace) {
         if (!waiting.containsKey(e.call)) {
             return;
         }
-        if ((e.requirements.isShort() ? counts.shortCalls : counts.longCalls) >= MAX_FAILURES_PER_CLASS) {
+        if (failures.of(e.requirements) >= MAX_FAILURES_PER_CLASS) {
             ahead.add(e.requirements);
             return;
         }
@@ -206,11 +195,7 @@
             e.hasFailed = true;
             waiting.put(e.call, e);
             ahead.add(e.requirements);
-            if (e.requirements.isShort()) {
-                counts.shortCalls++;
-            } else {
-                counts.longCalls++;
-            }
+            failures.add(e.requirements);
         }
     }
 }
--- a/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
@@ -119,7 +119,7 @@
     }
 
     /** Sets the calls that go before the one that is being placed, for the prediction of its time. */
-    public CallScheduler behind(CallsAhead ahead) {
+    public CallScheduler behind(CallCounts ahead) {
         waits.setAhead(ahead);
         return this;
     }
@@ -174,7 +174,7 @@
         }
         if (decision instanceof PlacementDecision.Wait wait) {
             decision = waits.decide(requirements, service, tried, waitedMs, wait, waitExhausted, now);
-            if (yields && decision instanceof PlacementDecision.Refuse r && !WaitPolicy.isUnservable(r)) {
+            if (yields && decision instanceof PlacementDecision.Refuse r && !r.unservable()) {
                 // Takes what it would have left to others rather than being rejected.
                 PlacementDecision last = placeAmong(usable, requirements, service, tried, waitedMs, false, now);
                 decision = last instanceof PlacementDecision.Send ? last : decision;
--- a/src/main/java/org/jujuberouter/dispatch/EngineTimeline.java
+++ b/src/main/java/org/jujuberouter/dispatch/EngineTimeline.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.ToDoubleFunction;
 
 /** When the slots and the memory of one engine are predicted to be freed, as of the time of the prediction. */
 final class EngineTimeline {
@@ -46,34 +47,26 @@
 
     /** Returns the earliest time at which a slot, if needed, and memory are free; infinite if they never are. */
     double earliestMs(boolean needsSlot, long tokens) {
-        int slots = freeSlots;
-        long free = freeTokens;
-        double atMs = 0;
-        for (int i = 0; needsSlot && slots <= 0 || free < tokens; i++) {
-            if (i == byEarliest.size()) {
-                return NEVER;
-            }
-            Release r = byEarliest.get(i);
-            slots += r.freesSlot ? 1 : 0;
-            free += r.tokens;
-            atMs = r.earliestMs;
-        }
-        return atMs;
+        return freeMs(byEarliest, Release::earliestMs, needsSlot, tokens);
     }
 
     /** Returns the latest time at which a slot, if needed, and memory are free if the engine takes no further calls. */
     double latestMs(boolean needsSlot, long tokens) {
+        return freeMs(byLatest, Release::latestMs, needsSlot, tokens);
+    }
+
+    private double freeMs(List<Release> inOrder, ToDoubleFunction<Release> endMs, boolean needsSlot, long tokens) {
         int slots = freeSlots;
         long free = freeTokens;
         double atMs = 0;
         for (int i = 0; needsSlot && slots <= 0 || free < tokens; i++) {
-            if (i == byLatest.size()) {
+            if (i == inOrder.size()) {
                 return NEVER;
             }
-            Release r = byLatest.get(i);
+            Release r = inOrder.get(i);
             slots += r.freesSlot ? 1 : 0;
             free += r.tokens;
-            atMs = r.latestMs;
+            atMs = endMs.applyAsDouble(r);
         }
         return atMs;
     }
--- a/src/main/java/org/jujuberouter/dispatch/PlacementDecision.java
+++ b/src/main/java/org/jujuberouter/dispatch/PlacementDecision.java
@@ -64,6 +64,11 @@
      *
      * @param reason explanation for the log and the caller
      * @param retryAfterMs time after which the caller may retry, in milliseconds
+     * @param unservable whether no engine can answer the call in the time that is left, whatever its place
      */
-    record Refuse(String reason, long retryAfterMs) implements PlacementDecision {}
+    record Refuse(String reason, long retryAfterMs, boolean unservable) implements PlacementDecision {
+        Refuse(String reason, long retryAfterMs) {
+            this(reason, retryAfterMs, false);
+        }
+    }
 }
--- a/src/main/java/org/jujuberouter/dispatch/RetrySpread.java
+++ b/src/main/java/org/jujuberouter/dispatch/RetrySpread.java
@@ -20,6 +20,11 @@
 
     private record Returning(long atNanos, double valuePerMs) {}
 
+    /** Returns the latest time after which a caller that still waits for the given time is asked to return. */
+    static double maxMs(double remainingMs) {
+        return Math.max(1, remainingMs * MAX_REMAINING_FRACTION);
+    }
+
     /**
      * Returns the time after which the caller of a rejected call returns, in milliseconds.
      *
@@ -35,7 +40,7 @@
         for (Returning r : returning) {
             before += r.valuePerMs >= valuePerMs ? 1 : 0;
         }
-        double maxMs = Math.max(1, remainingMs * MAX_REMAINING_FRACTION);
+        double maxMs = maxMs(remainingMs);
         double returnMs = foundMs + before * intervalMs;
         if (returnMs > maxMs) {
             returnMs = maxMs * (1 - Math.floorMod(random, 1_000) / 2_000.0);
--- a/src/main/java/org/jujuberouter/dispatch/WaitPolicy.java
+++ b/src/main/java/org/jujuberouter/dispatch/WaitPolicy.java
@@ -20,8 +20,6 @@
 final class WaitPolicy {
     private static final long MAX_FORECAST_AGE_MS = 20;
 
-    private static final String UNSERVABLE = "cannot be served before its deadline: ";
-
     /** Retry delay if no forecast is possible, before jitter. */
     private static final long UNKNOWN_RETRY_MS = 800;
 
@@ -31,7 +29,7 @@
     private final QueueMode mode;
     private final Map<ServiceName, Snapshot> snapshots = new HashMap<>();
     private final Map<ServiceName, RetrySpread> spreads = new HashMap<>();
-    private CallsAhead ahead = new CallsAhead();
+    private CallCounts ahead = new CallCounts();
     private int sharers = 1;
 
     /**
@@ -47,7 +45,7 @@
     }
 
     /** Sets the calls that go before the one that is being placed. */
-    void setAhead(CallsAhead callsAhead) {
+    void setAhead(CallCounts callsAhead) {
         ahead = callsAhead;
     }
 
@@ -56,11 +54,6 @@
         sharers = Math.max(1, instances);
     }
 
-    /** Returns whether a call is rejected because no engine can answer it in the time that is left. */
-    static boolean isUnservable(PlacementDecision.Refuse refuse) {
-        return refuse.reason().startsWith(UNSERVABLE);
-    }
-
     /** Returns whether late calls are kept for as long as they can be served; they yield to others meanwhile. */
     boolean keepsLateCalls() {
         return mode != QueueMode.BY_AGE;
@@ -84,33 +77,31 @@
             return waitExhausted ? new PlacementDecision.Refuse("no place in time", unknownRetryMs(call)) : wait;
         }
         double remainingMs = call.callerTimeoutMs() - waitedMs;
-        PlacementForecast forecast = forecast(call, service, tried, now);
-        String reason = whyRejected(call, forecast, remainingMs, waitExhausted);
-        if (!reason.isEmpty() && discardStale(service.name())) {
+        Optional<CapacityForecast> capacity = capacity(call, service, tried, now);
+        PlacementForecast forecast = forecast(capacity, call);
+        if (isRejected(call, forecast, remainingMs, waitExhausted) && discardStale(service.name())) {
             // Capacity may have been freed since; a call is rejected only on what is known now.
-            forecast = forecast(call, service, tried, now);
-            reason = whyRejected(call, forecast, remainingMs, waitExhausted);
+            capacity = capacity(call, service, tried, now);
+            forecast = forecast(capacity, call);
+        }
+        if (!isRejected(call, forecast, remainingMs, waitExhausted)) {
+            return new PlacementDecision.Wait(wait.reason(), wait.notAway(), forecast);
         }
-        return reason.isEmpty()
-                ? new PlacementDecision.Wait(wait.reason(), wait.notAway(), forecast)
-                : new PlacementDecision.Refuse(
-                        reason + missing(call, service, tried, wait, now),
-                        retryAfterMs(call, service, forecast, remainingMs, now));
+        boolean unservable = isUnservable(forecast, remainingMs);
+        String missing = capacity.map(c -> c.missing(call, wait.reason())).orElse(wait.reason());
+        return new PlacementDecision.Refuse(
+                (unservable ? "cannot be served before its deadline: " : "no place in time: ") + missing,
+                retryAfterMs(call, service, forecast, remainingMs, now),
+                unservable);
     }
 
-    private String missing(
-            CallRequirements call, ServiceSpec service, Set<EndpointId> tried, PlacementDecision.Wait wait, long now) {
-        return service.engine().isEmpty() || call.promptTokens() <= 0
-                ? wait.reason()
-                : capacity(service.engine().get(), call.service(), tried, now).missing(call, wait.reason());
+    private static boolean isUnservable(PlacementForecast forecast, double remainingMs) {
+        return forecast.firstEventMs() > remainingMs;
     }
 
-    private String whyRejected(
+    private boolean isRejected(
             CallRequirements call, PlacementForecast forecast, double remainingMs, boolean waitExhausted) {
-        if (forecast.firstEventMs() > remainingMs) {
-            return UNSERVABLE;
-        }
-        return waitExhausted && !isKept(call, forecast, remainingMs) ? "no place in time: " : "";
+        return isUnservable(forecast, remainingMs) || waitExhausted && !isKept(call, forecast, remainingMs);
     }
 
     /** Discards the forecast of a service if its engines' load has changed since; returns whether it has. */
@@ -137,23 +128,26 @@
 
     /** Returns the retry delay of a call whose service has no usable endpoint, at most the given one. */
     static long retryWithoutEndpointMs(CallRequirements call, double waitedMs, long maxMs) {
-        return Math.max(1, (long) Math.min(maxMs, (call.callerTimeoutMs() - waitedMs) / 3));
+        return (long) Math.min(maxMs, RetrySpread.maxMs(call.callerTimeoutMs() - waitedMs));
     }
 
-    private PlacementForecast forecast(CallRequirements call, ServiceSpec service, Set<EndpointId> tried, long now) {
-        Optional<EngineCostModel> engine = service.engine();
-        if (engine.isEmpty() || call.promptTokens() <= 0) {
-            return PlacementForecast.UNKNOWN;
-        }
-        return capacity(engine.get(), call.service(), tried, now).forecast(call, ahead.of(call), sharers);
+    private PlacementForecast forecast(Optional<CapacityForecast> capacity, CallRequirements call) {
+        return capacity.map(c -> c.forecast(call, ahead.of(call), sharers)).orElse(PlacementForecast.UNKNOWN);
     }
 
-    private CapacityForecast capacity(EngineCostModel engine, ServiceName service, Set<EndpointId> tried, long now) {
+    /** Returns the forecast for the engines that the call has not tried; empty without a cost model. */
+    private Optional<CapacityForecast> capacity(
+            CallRequirements call, ServiceSpec declaration, Set<EndpointId> tried, long now) {
+        if (declaration.engine().isEmpty() || call.promptTokens() <= 0) {
+            return Optional.empty();
+        }
+        EngineCostModel engine = declaration.engine().get();
+        ServiceName service = call.service();
         if (!tried.isEmpty()) {
             List<TrackedEndpoint> untried = registry.usable(service).stream()
                     .filter(e -> !tried.contains(e.registration().id()))
                     .toList();
-            return CapacityForecast.of(engine, untried, now);
+            return Optional.of(CapacityForecast.of(engine, untried, now));
         }
         Snapshot known = snapshots.get(service);
         if (known == null
@@ -163,7 +157,7 @@
                     CapacityForecast.of(engine, registry.usable(service), now), engine, now, registry.loadChanges());
             snapshots.put(service, known);
         }
-        return known.forecast;
+        return Optional.of(known.forecast);
     }
 
     private static long unknownRetryMs(CallRequirements call) {
@@ -174,7 +168,7 @@
             CallRequirements call, ServiceSpec service, PlacementForecast forecast, double remainingMs, long now) {
         int random = call.id().hashCode();
         double foundMs = forecast.latestMs();
-        if (forecast.firstEventMs() > remainingMs) {
+        if (isUnservable(forecast, remainingMs)) {
             // An earlier return would find no engine that can serve the call in the time that is left.
             foundMs = remainingMs;
         } else if (Double.isInfinite(foundMs)) {
--- a/src/test/java/org/jujuberouter/dispatch/QueueingTest.java
+++ b/src/test/java/org/jujuberouter/dispatch/QueueingTest.java
@@ -30,7 +30,7 @@
 
     private final ManualTicker ticker = ManualTicker.atZero();
     private final EndpointRegistry registry = EndpointRegistry.empty(ticker);
-    private final CallsAhead ahead = new CallsAhead();
+    private final CallCounts ahead = new CallCounts();
     private final CallScheduler scheduler = CallScheduler.on(registry, ticker).behind(ahead);
     private final CallScheduler reserving =
             CallScheduler.on(registry, ticker, DomainPolicy.ignoringDomains(), QueueMode.RESERVED);
