Look at the headroom of other domains only when a call may leave

Each placement counted the free engines of all domains, also where a home engine was as good, which is the usual case. The choice among equally good engines is one method of DomainPolicy now, and the rank of a domain and the arrays by domain number go, as do the cached round trips, which are two lookups in a map. Plain calls and prompts each worked out why a call leaves; both use one method. The decisions are the same.

--- a/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
+++ b/src/main/java/org/jujuberouter/dispatch/CallScheduler.java
@@ -234,16 +234,21 @@
                 requirements.objectiveMs(),
                 0,
                 requirements.onTimeGain());
-        boolean homeHadRoom = domains.prefersHome()
-                && candidates.stream()
-                        .anyMatch(c -> domains.isHome(c.domain())
-                                && c.load().slotsUsed() < c.registration().slots());
-        AwayReason away = awayReason(e, homeHadRoom ? AwayReason.HOME_LATE : eligible.homeState());
-        return new PlacementDecision.Send(e, List.of(), List.of(allocation), 0, 0, 0, away);
+        return new PlacementDecision.Send(e, List.of(), List.of(allocation), 0, 0, 0, awayReason(e, eligible));
     }
 
-    private AwayReason awayReason(TrackedEndpoint responder, AwayReason homeState) {
-        return domains.prefersHome() && !domains.isHome(responder.domain()) ? homeState : AwayReason.NONE;
+    /** Returns why a call that the endpoint answers was not placed in the domain of this instance. */
+    private AwayReason awayReason(TrackedEndpoint responder, EligibleEndpoints eligible) {
+        if (!domains.prefersHome() || domains.isHome(responder.domain())) {
+            return AwayReason.NONE;
+        }
+        for (TrackedEndpoint e : eligible.candidates()) {
+            if (domains.isHome(e.domain())
+                    && e.load().slotsUsed() < e.registration().slots()) {
+                return AwayReason.HOME_LATE;
+            }
+        }
+        return eligible.homeState();
     }
 
     private PlacementDecision placePrompt(
@@ -255,13 +260,11 @@
         List<TrackedEndpoint> candidates = eligible.candidates();
         // Only parts of a longer prefill are charged for the headroom.
         int free = engine.prefillMs(requirements.promptTokens()) > MAX_FREE_PREFILL_MS ? countFree(candidates, now) : 0;
-        domains.useNetwork(engine.network());
-        domains.countFreeEngines(candidates, now);
         PromptSearch search = new PromptSearch(requirements, engine, candidates, free, waitedMs, now);
         PromptCandidate best = best(search, candidates);
-        if (best != null && domains.isAway(best) && domains.mayKeepHome(requirements)) {
+        if (best != null && domains.isAway(best) && domains.mayKeepHome(requirements, engine.network())) {
             PromptCandidate atHome = best(search, ofHome(candidates));
-            best = atHome != null && domains.keepsHome(requirements, atHome, best) ? atHome : best;
+            best = atHome != null && domains.keepsHome(requirements, engine.network(), atHome, best) ? atHome : best;
         }
         if (best == null) {
             return new PlacementDecision.Wait(
@@ -271,26 +274,12 @@
         double idleFirstEventMs = engine.prefillMs(requirements.promptTokens())
                 + engine.decodeIterationMs(1, requirements.promptTokens());
         return shouldSend(requirements, best, waitedMs, idleFirstEventMs)
-                ? send(requirements, best, awayReason(best.engines().getFirst(), homeState(eligible, candidates, best)))
+                ? send(requirements, best, awayReason(best.engines().getFirst(), eligible))
                 : new PlacementDecision.Wait(
                         "every place would make calls late, of the weight " + Math.round(best.cost()),
                         eligible.whyNotAway());
     }
 
-    /** Returns why a prompt that is placed outside the domain was not placed inside. */
-    private AwayReason homeState(EligibleEndpoints eligible, List<TrackedEndpoint> candidates, PromptCandidate best) {
-        if (!domains.prefersHome() || !domains.isAway(best)) {
-            return AwayReason.NONE;
-        }
-        for (TrackedEndpoint e : candidates) {
-            if (domains.isHome(e.domain())
-                    && e.load().slotsUsed() < e.registration().slots()) {
-                return AwayReason.HOME_LATE;
-            }
-        }
-        return eligible.homeState();
-    }
-
     private List<TrackedEndpoint> ofHome(List<TrackedEndpoint> candidates) {
         List<TrackedEndpoint> home = new ArrayList<>();
         for (TrackedEndpoint e : candidates) {
@@ -381,7 +370,7 @@
             double iterationMs = load.iterationMs(engine, prefillMs, now);
             double firstEventMs = load.firstEventMs(engine, prefillMs, now)
                     + e.expectedDelayMs(now)
-                    + domains.roundTripMs(e.domain());
+                    + domains.roundTripMs(e.domain(), engine.network());
             // Streams that arrive during a long prefill are delayed like those that are already running.
             double harmToOthers =
                     load.gapViolationCost(iterationMs, USABLE_GAP_FRACTION) * (1 + prefillMs / TYPICAL_STREAM_MS);
@@ -398,18 +387,16 @@
             double crowding = shortPrompt
                     ? Math.floor(load.slotsUsed() / (e.registration().slots() * CROWDING_STEP_FRACTION))
                     : load.prefillRemainingMs(now);
-            ranked.add(new RankedEngine(
-                    e,
-                    harmToOthers,
-                    ownCost,
-                    firstEventMs,
-                    crowding,
-                    hasFreeSlot,
-                    domains.preference(e.domain()),
-                    position));
+            ranked.add(new RankedEngine(e, harmToOthers, ownCost, firstEventMs, crowding, hasFreeSlot, position));
         }
         ranked.sort(RankedEngine.BEST_FIRST);
-        PromptCandidate chosen = PromptCandidate.choose(requirements, ranked, split, usableTokens, spreadWidth(now));
+        PromptCandidate chosen = PromptCandidate.choose(
+                requirements,
+                ranked,
+                split,
+                usableTokens,
+                spreadWidth(now),
+                equallyGood -> domains.preferred(equallyGood, search.candidates, now));
         return chosen == null || prefillMs <= MAX_FREE_PREFILL_MS
                 ? chosen
                 : chosen.withMoreHarm(missingFreeEngines(search, chosen.engines()) * MISSING_FREE_ENGINE_COST);
--- a/src/main/java/org/jujuberouter/dispatch/DomainPolicy.java
+++ b/src/main/java/org/jujuberouter/dispatch/DomainPolicy.java
@@ -1,8 +1,10 @@
 package org.jujuberouter.dispatch;
 
-import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.jujuberouter.catalog.DomainNetwork;
+import org.jujuberouter.dispatch.PromptCandidate.RankedEngine;
 import org.jujuberouter.id.FailureDomain;
 
 /**
@@ -36,10 +38,6 @@
 
     private final FailureDomain home;
     private final DomainMode mode;
-    private DomainNetwork network = DomainNetwork.unknown();
-    private double[] roundTripMs = {};
-    private int[] engines = {};
-    private int[] freeEngines = {};
 
     private DomainPolicy(FailureDomain home, DomainMode mode) {
         this.home = home;
@@ -71,62 +69,50 @@
         return domain.id().equals(home);
     }
 
-    /** Sets the network between the domains. */
-    void useNetwork(DomainNetwork current) {
-        if (!current.equals(network)) {
-            network = current;
-            roundTripMs = new double[0];
-        }
+    /** Returns the network delay to a domain and back, in milliseconds; 0 if domains are ignored. */
+    double roundTripMs(TrackedDomain domain, DomainNetwork network) {
+        return !prefersHome() || isHome(domain) ? 0 : network.roundTripMs(home, domain.id());
     }
 
-    /** Returns the network delay to a domain and back, in milliseconds; 0 if domains are ignored. */
-    double roundTripMs(TrackedDomain domain) {
-        if (!prefersHome() || isHome(domain)) {
-            return 0;
+    /**
+     * Returns those of equally good engines that are used: at home, so that nothing is sent to other domains for no gain,
+     * else in domains that keep headroom, since the calls of the others would have to leave in turn.
+     *
+     * @param candidates all engines that may be used
+     */
+    List<RankedEngine> preferred(List<RankedEngine> equallyGood, List<TrackedEndpoint> candidates, long now) {
+        if (!prefersHome()) {
+            return equallyGood;
         }
-        int index = domain.index();
-        if (index >= roundTripMs.length) {
-            int known = roundTripMs.length;
-            roundTripMs = Arrays.copyOf(roundTripMs, index + 1);
-            Arrays.fill(roundTripMs, known, roundTripMs.length, Double.NaN);
+        List<RankedEngine> atHome =
+                equallyGood.stream().filter(r -> isHome(r.endpoint().domain())).toList();
+        if (!atHome.isEmpty()) {
+            return atHome;
         }
-        if (Double.isNaN(roundTripMs[index])) {
-            roundTripMs[index] = network.roundTripMs(home, domain.id());
+        Map<TrackedDomain, Headroom> headroom = new HashMap<>();
+        for (TrackedEndpoint e : candidates) {
+            headroom.computeIfAbsent(e.domain(), _ -> new Headroom()).add(CallScheduler.isFree(e, now));
         }
-        return roundTripMs[index];
+        List<RankedEngine> withHeadroom = equallyGood.stream()
+                .filter(r -> headroom.get(r.endpoint().domain()).isKept())
+                .toList();
+        return withHeadroom.isEmpty() ? equallyGood : withHeadroom;
     }
 
-    /** Counts the free engines of each domain among the candidates, for {@link #preference}. */
-    void countFreeEngines(List<TrackedEndpoint> candidates, long now) {
-        if (!prefersHome()) {
-            return;
-        }
-        Arrays.fill(engines, 0);
-        Arrays.fill(freeEngines, 0);
-        for (int i = 0; i < candidates.size(); i++) {
-            TrackedEndpoint e = candidates.get(i);
-            int domain = e.domain().index();
-            if (domain >= engines.length) {
-                engines = Arrays.copyOf(engines, domain + 1);
-                freeEngines = Arrays.copyOf(freeEngines, domain + 1);
-            }
-            engines[domain]++;
-            if (CallScheduler.isFree(e, now)) {
-                freeEngines[domain]++;
-            }
+    /** The engines of a domain. */
+    private static final class Headroom {
+        private int engines;
+        private int free;
+
+        private void add(boolean isFree) {
+            engines++;
+            free += isFree ? 1 : 0;
         }
-    }
 
-    /**
-     * Returns the rank of a domain among those with equally good engines; smaller is better. The domain of the instance goes
-     * first; a domain that would lose its headroom goes last, since its own calls would have to leave in turn.
-     */
-    int preference(TrackedDomain domain) {
-        if (!prefersHome() || isHome(domain)) {
-            return 0;
+        /** Returns whether enough engines are free after one more call. */
+        private boolean isKept() {
+            return free - 1 >= Math.ceil(engines * HEADROOM_FRACTION);
         }
-        int index = domain.index();
-        return freeEngines[index] - 1 >= Math.ceil(engines[index] * HEADROOM_FRACTION) ? 1 : 2;
     }
 
     /** Returns whether the call would be answered from another domain. */
@@ -135,20 +121,21 @@
     }
 
     /** Returns whether a hop costs so much that a call may be worth more at home than in a better place elsewhere. */
-    boolean mayKeepHome(CallRequirements requirements) {
-        return prefersHome() && hopCost(requirements) > crowdedLoss(requirements);
+    boolean mayKeepHome(CallRequirements requirements, DomainNetwork network) {
+        return prefersHome() && hopCost(requirements, network) > crowdedLoss(requirements);
     }
 
     /** Returns whether the price of leaving exceeds what the call and others lose at home. */
-    boolean keepsHome(CallRequirements requirements, PromptCandidate atHome, PromptCandidate away) {
-        return atHome.cost() + crowdedLoss(requirements) < away.cost() + hopCost(requirements);
+    boolean keepsHome(
+            CallRequirements requirements, DomainNetwork network, PromptCandidate atHome, PromptCandidate away) {
+        return atHome.cost() + crowdedLoss(requirements) < away.cost() + hopCost(requirements, network);
     }
 
     private static double crowdedLoss(CallRequirements requirements) {
         return CROWDED_LOSS * requirements.onTimeGain();
     }
 
-    private double hopCost(CallRequirements requirements) {
+    private static double hopCost(CallRequirements requirements, DomainNetwork network) {
         double request = requirements.requestBytes() > 0 ? requirements.requestBytes() : TYPICAL_REQUEST_BYTES;
         return Math.max(MIN_HOP_COST, (request + RESPONSE_BYTES) * network.costPerByte());
     }
--- a/src/main/java/org/jujuberouter/dispatch/EndpointRegistry.java
+++ b/src/main/java/org/jujuberouter/dispatch/EndpointRegistry.java
@@ -47,7 +47,7 @@
 
     /** Adds or updates a registration; a new run under the same id starts without load and history. */
     public void register(Endpoint endpoint) {
-        TrackedDomain domain = domains.computeIfAbsent(endpoint.domain(), d -> new TrackedDomain(d, domains.size()));
+        TrackedDomain domain = domains.computeIfAbsent(endpoint.domain(), TrackedDomain::new);
         TrackedEndpoint known = endpoints.get(endpoint.id());
         if (known != null && known.registration().isSameRun(endpoint)) {
             boolean sameGroup = known.registration().service().equals(endpoint.service())
--- a/src/main/java/org/jujuberouter/dispatch/PromptCandidate.java
+++ b/src/main/java/org/jujuberouter/dispatch/PromptCandidate.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.UnaryOperator;
 
 /**
  * A possible placement of a prompt.
@@ -18,7 +19,6 @@
     /**
      * An engine with the costs of placing one part of the prompt on it.
      *
-     * @param preference rank of the engine's domain among equally good engines; smaller is better
      * @param position the position in the order that all instances share; smaller is better
      */
     record RankedEngine(
@@ -28,7 +28,6 @@
             double firstEventMs,
             double crowding,
             boolean hasFreeSlot,
-            int preference,
             int position) {
         static final Comparator<RankedEngine> BEST_FIRST = Comparator.comparingDouble(RankedEngine::cost)
                 .thenComparingDouble(RankedEngine::crowding)
@@ -58,13 +57,15 @@
      * @param ranked the engines, best first
      * @param usableTokens KV cache of an engine that may be planned, in tokens
      * @param spreadWidth number of equally good engines over which calls are spread
+     * @param preference selects at least one of equally good engines
      */
     static PromptCandidate choose(
             CallRequirements requirements,
             List<RankedEngine> ranked,
             PromptSplit split,
             long usableTokens,
-            int spreadWidth) {
+            int spreadWidth,
+            UnaryOperator<List<RankedEngine>> preference) {
         List<RankedEngine> available = ranked.stream()
                 .filter(r ->
                         r.hasFreeSlot && r.endpoint.load().memoryTokens() + split.responderTokens() <= usableTokens)
@@ -76,10 +77,7 @@
         List<RankedEngine> equallyGood = available.stream()
                 .filter(r -> r.cost() <= best.cost() && r.crowding <= best.crowding)
                 .toList();
-        int preference =
-                equallyGood.stream().mapToInt(RankedEngine::preference).min().orElseThrow();
-        List<RankedEngine> preferred =
-                equallyGood.stream().filter(r -> r.preference == preference).toList();
+        List<RankedEngine> preferred = preference.apply(equallyGood);
         // In proportion to the preferred engines: the instances of other domains use the others.
         int width = Math.max(1, spreadWidth * preferred.size() / equallyGood.size());
         List<RankedEngine> tied = preferred.subList(0, Math.min(width, preferred.size()));
--- a/src/main/java/org/jujuberouter/dispatch/TrackedDomain.java
+++ b/src/main/java/org/jujuberouter/dispatch/TrackedDomain.java
@@ -22,7 +22,6 @@
     private static final long PROBE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final FailureDomain domain;
-    private final int index;
     private final EndpointId[] unreachable = new EndpointId[MIN_UNREACHABLE];
     private final long[] unreachableAt = new long[MIN_UNREACHABLE];
     private int unreachableCount;
@@ -31,9 +30,8 @@
     private boolean probing;
     private long probeEndsAt;
 
-    TrackedDomain(FailureDomain domain, int index) {
+    TrackedDomain(FailureDomain domain) {
         this.domain = domain;
-        this.index = index;
     }
 
     /** Returns the id of the domain. */
@@ -41,11 +39,6 @@
         return domain;
     }
 
-    /** Returns the number of domains that were known before this one. */
-    int index() {
-        return index;
-    }
-
     /** Returns whether calls avoid the domain now: it is cut off, and no probe is due. */
     boolean isAvoided(long now) {
         return avoidanceNanos > 0 && (now < avoidedUntil || probing && now < probeEndsAt);
