--- a/src/main/java/org/jujuberouter/gateway/Admission.java
+++ b/src/main/java/org/jujuberouter/gateway/Admission.java
@@ -11,7 +11,7 @@
 
 /** Whether the configuration allows a call. */
 sealed interface Admission {
-    /** Time after which an operator may have corrected the configuration. */
+    /** Time after which the configuration may have been corrected or read again, or an endpoint may have room. */
     long RETRY_AFTER_MS = 500;
 
     /** The call may be placed at an endpoint of the service. */
--- a/src/main/java/org/jujuberouter/gateway/DutySync.java
+++ b/src/main/java/org/jujuberouter/gateway/DutySync.java
@@ -66,9 +66,14 @@
         this.store = store;
         this.calls = calls;
         this.loop = gateway.loop();
-        Ticker wallClock = () -> TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
         this.control = DutyControl.of(
-                gateway.ticker(), wallClock, peers.self(), duties.settings(), leaseMs, options.firstStart(), this);
+                gateway.ticker(),
+                Ticker.wallClock(),
+                peers.self(),
+                duties.settings(),
+                leaseMs,
+                options.firstStart(),
+                this);
     }
 
     /** Starts the duties; must be called before the event loop handles events of the store and of peers. */
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -115,10 +115,9 @@
                 .behind(waitQueue.ahead());
         this.demandMeter = DemandMeter.of(options.domain());
         this.stopSchedule = StopSchedule.of(ticker, options.bounds().stopMs());
-        Ticker wallClock = () -> TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
         long keysMs = options.bounds().keyRevocationMs();
-        this.storeFreshness = StoreFreshness.of(ticker, wallClock, keysMs);
-        this.viewFreshness = StoreFreshness.of(ticker, wallClock, keysMs);
+        this.storeFreshness = StoreFreshness.of(ticker, Ticker.wallClock(), keysMs);
+        this.viewFreshness = StoreFreshness.of(ticker, Ticker.wallClock(), keysMs);
         metrics.gauge("calls_running", running::size);
         metrics.gauge("calls_waiting", waitQueue::size);
         metrics.engineReservations(scheduler.reservations());
--- a/src/main/java/org/jujuberouter/misc/Ticker.java
+++ b/src/main/java/org/jujuberouter/misc/Ticker.java
@@ -1,5 +1,7 @@
 package org.jujuberouter.misc;
 
+import java.util.concurrent.TimeUnit;
+
 /** Monotonic time source. Decision logic reads time only through a ticker, so that it can run on a virtual clock. */
 @FunctionalInterface
 public interface Ticker {
@@ -11,6 +13,11 @@
         return nanos() / 1_000_000L;
     }
 
+    /** Returns the wall clock, which can be stepped; its origin is the start of 1970. */
+    static Ticker wallClock() {
+        return () -> TimeUnit.MILLISECONDS.toNanos(System.currentTimeMillis());
+    }
+
     /** Returns a ticker that reads {@link System#nanoTime}. */
     static Ticker system() {
         return System::nanoTime;
--- a/src/main/java/org/jujuberouter/platform/EndpointCalls.java
+++ b/src/main/java/org/jujuberouter/platform/EndpointCalls.java
@@ -13,9 +13,6 @@
     /** The state of an engine; answered without a slot. */
     static final String REPORT_PATH = "/v1/report";
 
-    /** Status of an engine that is not the one that the call expects. */
-    private static final int MISDIRECTED = 421;
-
     /** Short, since the first event of a prompt that needs the memory is due within a few seconds. */
     private static final long TIMEOUT_MS = 400;
 
@@ -40,7 +37,8 @@
                 REPORT_PATH,
                 endpoint,
                 null,
-                reply -> listener.accept(reply instanceof JsonReply.Response r && r.status() != MISDIRECTED));
+                reply -> listener.accept(
+                        reply instanceof JsonReply.Response r && r.status() != PlatformCallCodec.MISDIRECTED_REQUEST));
     }
 
     void call(String method, String path, Endpoint endpoint, byte[] body, Consumer<JsonReply> listener) {
--- a/src/main/java/org/jujuberouter/platform/PlatformCallCodec.java
+++ b/src/main/java/org/jujuberouter/platform/PlatformCallCodec.java
@@ -23,8 +23,10 @@
 
 /** Encodes and decodes calls and responses with the platform's HTTP headers. */
 public final class PlatformCallCodec implements CallCodec {
+    /** Status of an endpoint that is not the one that a call expects. */
+    static final int MISDIRECTED_REQUEST = 421;
+
     private static final String BEARER = "Bearer ";
-    private static final int MISDIRECTED_REQUEST = 421;
     private static final String LEAVING = "1";
 
     /** A number of seconds; dates, signs and exponents are not used between instances and endpoints. */
