--- a/src/test/java/org/jujuberouter/process/LostHeapTest.java
+++ b/src/test/java/org/jujuberouter/process/LostHeapTest.java
@@ -54,11 +54,15 @@
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
-    /** 120 bodies of 1 MB, each but its last byte, are more than the heap; one body is far below its own limit. */
-    @Test
-    void servesSmallCallsBesideBodiesThatExceedTheHeap() throws Exception {
+    /** What is done to an instance that serves. */
+    @FunctionalInterface
+    private interface Scenario {
+        void run(ChildProcess process, HttpClient client, int port, List<Socket> sockets) throws Exception;
+    }
+
+    /** Starts an instance with the heap option, runs the scenario and closes its sockets. */
+    private void withInstance(String heap, Scenario scenario) throws Exception {
         Path node = directory.resolve("node.json");
-        Path output = directory.resolve("output");
         List<Socket> sockets = new ArrayList<>();
         try (StandinSite site = StandinSite.start(1, 1, 1);
                 HttpClient client = HttpClient.newBuilder()
@@ -66,30 +70,9 @@
                         .build()) {
             int port = site.writeNodeFile(node, "one").getPort();
             try (ChildProcess process =
-                    ChildProcess.startWithHeap("-Xmx64m", output, "serve", "--node-file", node.toString())) {
+                    ChildProcess.startWithHeap(heap, output(), "serve", "--node-file", node.toString())) {
                 awaitServing(client, port);
-                String body = "x".repeat(BODY_BYTES - 1);
-                for (int i = 0; i < 120; i++) {
-                    Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
-                    sockets.add(socket);
-                    Thread.ofVirtual().start(() -> {
-                        try {
-                            send(
-                                    socket,
-                                    "POST /post/x HTTP/1.1\r\nHost: " + StandinSite.HOST
-                                            + "\r\nX-Jujuberouter-Attempt-Id: large\r\nContent-Length: " + BODY_BYTES
-                                            + "\r\n\r\n" + body);
-                        } catch (IOException e) {
-                            // The instance has closed the connection, which is no failure of it.
-                            return;
-                        }
-                    });
-                }
-                for (int i = 0; i < 40; i++) {
-                    assertEquals(200, smallCallStatus(client, port, 1_000 + i), Files.readString(output));
-                    Thread.sleep(50);
-                }
-                assertTrue(process.isAlive());
+                scenario.run(process, client, port, sockets);
             } finally {
                 for (Socket s : sockets) {
                     s.close();
@@ -98,34 +81,52 @@
         }
     }
 
+    private Path output() {
+        return directory.resolve("output");
+    }
+
+    /** 120 bodies of 1 MB, each but its last byte, are more than the heap; one body is far below its own limit. */
+    @Test
+    void servesSmallCallsBesideBodiesThatExceedTheHeap() throws Exception {
+        withInstance("-Xmx64m", (process, client, port, sockets) -> {
+            String body = "x".repeat(BODY_BYTES - 1);
+            for (int i = 0; i < 120; i++) {
+                Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+                sockets.add(socket);
+                Thread.ofVirtual().start(() -> {
+                    try {
+                        send(
+                                socket,
+                                "POST /post/x HTTP/1.1\r\nHost: " + StandinSite.HOST
+                                        + "\r\nX-Jujuberouter-Attempt-Id: large\r\nContent-Length: " + BODY_BYTES
+                                        + "\r\n\r\n" + body);
+                    } catch (IOException e) {
+                        // The instance has closed the connection, which is no failure of it.
+                        return;
+                    }
+                });
+            }
+            for (int i = 0; i < 40; i++) {
+                assertEquals(200, smallCallStatus(client, port, 1_000 + i), Files.readString(output()));
+                Thread.sleep(50);
+            }
+            assertTrue(process.isAlive());
+        });
+    }
+
     /** The heads of 1,500 requests that do not end are more than the heap; they are no bodies, so no budget holds. */
     @Test
     void exitsWithinASecondOfTheLossOfItsHeap() throws Exception {
-        Path node = directory.resolve("node.json");
-        Path output = directory.resolve("output");
-        List<Socket> sockets = new ArrayList<>();
-        try (StandinSite site = StandinSite.start(1, 1, 1);
-                HttpClient client = HttpClient.newBuilder()
-                        .version(HttpClient.Version.HTTP_1_1)
-                        .build()) {
-            int port = site.writeNodeFile(node, "one").getPort();
-            try (ChildProcess process =
-                    ChildProcess.startWithHeap("-Xmx16m", output, "serve", "--node-file", node.toString())) {
-                awaitServing(client, port);
-                String head = "GET /read/x HTTP/1.1\r\nHost: " + StandinSite.HOST + "\r\nX: ";
-                sendHeads(port, head + "x".repeat(15_500), sockets);
-                long end = System.nanoTime() + Duration.ofSeconds(20).toNanos();
-                while (process.isAlive() && !Files.readString(output).contains("the process exits")) {
-                    assertTrue(System.nanoTime() < end, "alive without a heap:\n" + Files.readString(output));
-                    Thread.sleep(5);
-                }
-                assertEquals(70, process.awaitExit(1), Files.readString(output));
-            } finally {
-                for (Socket s : sockets) {
-                    s.close();
-                }
+        withInstance("-Xmx16m", (process, client, port, sockets) -> {
+            String head = "GET /read/x HTTP/1.1\r\nHost: " + StandinSite.HOST + "\r\nX: ";
+            sendHeads(port, head + "x".repeat(15_500), sockets);
+            long end = System.nanoTime() + Duration.ofSeconds(20).toNanos();
+            while (process.isAlive() && !Files.readString(output()).contains("the process exits")) {
+                assertTrue(System.nanoTime() < end, "alive without a heap:\n" + Files.readString(output()));
+                Thread.sleep(5);
             }
-        }
+            assertEquals(70, process.awaitExit(1), Files.readString(output()));
+        });
     }
 
     private static void sendHeads(int port, String head, List<Socket> sockets) throws IOException {
