Bound the heads of requests by the configuration in force

Cause: the codec of a connection had a constant bound for the request line, and took that for the header fields from the configuration when the connection was opened. Before the first configuration the defaults applied, so what it allows could be rejected for good.

Change: RequestHeadLimit applies the limit in force to each head, around a codec without bounds, and bounds the bytes of a head that is still incomplete.

--- a/src/main/java/org/jujuberouter/configcheck/InstanceCapacity.java
+++ b/src/main/java/org/jujuberouter/catalog/InstanceCapacity.java
@@ -1,4 +1,4 @@
-package org.jujuberouter.configcheck;
+package org.jujuberouter.catalog;
 
 /** Sizes that one instance can hold. */
 public final class InstanceCapacity {
--- a/src/main/java/org/jujuberouter/gateway/CallerConnection.java
+++ b/src/main/java/org/jujuberouter/gateway/CallerConnection.java
@@ -20,7 +20,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayDeque;
@@ -273,8 +272,7 @@
     }
 
     private void refuseMalformed(Throwable cause) {
-        boolean tooLarge = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-        rejectAndClose(tooLarge ? 431 : 400, String.valueOf(cause.getMessage()));
+        rejectAndClose(cause instanceof TooLongHttpHeaderException ? 431 : 400, String.valueOf(cause.getMessage()));
     }
 
     /** Rejects a request and closes the connection, since the rest of the request is not read. */
--- a/src/main/java/org/jujuberouter/gateway/Gateway.java
+++ b/src/main/java/org/jujuberouter/gateway/Gateway.java
@@ -172,7 +172,7 @@
     }
 
     CallerLimits limits() {
-        return catalog.map(Catalog::limits).orElse(CallerLimits.defaults());
+        return catalog.map(Catalog::limits).orElse(CallerLimits.beforeConfiguration());
     }
 
     /**
--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -33,8 +33,7 @@
 /** Starts and gracefully stops one instance on the users' platform. */
 public final class GatewayDaemon implements AutoCloseable {
     private static final int ACCEPT_BACKLOG = 1_024;
-    private static final int MAX_LINE_BYTES = 8_192;
-    private static final int MAX_CHUNK_BYTES = 16_384;
+    private static final int MAX_STATUS_REQUEST_BYTES = 16_384;
     private static final long LEASE_MS = 6_000;
     private static final long RENEW_INTERVAL_MS = 2_000;
     private static final long REGISTER_RETRY_MS = 500;
@@ -108,13 +107,11 @@
         }
         daemon.gateway.metrics().gauge("request_body_bytes", bodies::heldBytes);
         daemon.gateway.metrics().gauge("request_body_bytes_limit", bodies::limitBytes);
-        daemon.listen(
-                options.callers(),
-                ch -> ch.pipeline()
-                        .addLast(new HttpServerCodec(
-                                MAX_LINE_BYTES, daemon.gateway.limits().maxHeaderBytes(), MAX_CHUNK_BYTES))
-                        .addLast(FatalErrorReporter.instance())
-                        .addLast(new CallerConnection(daemon.gateway, bodies)));
+        daemon.listen(options.callers(), ch -> {
+            RequestHeadLimit.addCodec(
+                    ch.pipeline(), () -> daemon.gateway.limits().maxHeaderBytes());
+            ch.pipeline().addLast(FatalErrorReporter.instance()).addLast(new CallerConnection(daemon.gateway, bodies));
+        });
         return daemon;
     }
 
@@ -142,7 +139,7 @@
                 address,
                 ch -> ch.pipeline()
                         .addLast(new HttpServerCodec())
-                        .addLast(new HttpObjectAggregator(MAX_CHUNK_BYTES))
+                        .addLast(new HttpObjectAggregator(MAX_STATUS_REQUEST_BYTES))
                         .addLast(FatalErrorReporter.instance())
                         .addLast(handler.get()));
     }
--- a/src/main/java/org/jujuberouter/platform/standin/StandinSite.java
+++ b/src/main/java/org/jujuberouter/platform/standin/StandinSite.java
@@ -38,6 +38,8 @@
     private final List<EngineStandin> engines = new ArrayList<>();
     private final List<EngineStandin> ledgers = new ArrayList<>();
     private long version;
+    private int maxHeaderBytes = 16_384;
+    private long idleTimeoutMs = 5_000;
     private Optional<InetSocketAddress> cloud = Optional.empty();
     private double reportWindowS;
 
@@ -91,6 +93,13 @@
         configure(List.of(), List.of());
     }
 
+    /** Writes a new version of the configuration with other limits for callers. */
+    public void limitCallers(int newMaxHeaderBytes, long newIdleTimeoutMs) {
+        maxHeaderBytes = newMaxHeaderBytes;
+        idleTimeoutMs = newIdleTimeoutMs;
+        configure(true);
+    }
+
     /** Writes a new version of the configuration that declares no customers. */
     public void removeCustomers() {
         store.put("op/config", configuration().toString());
@@ -141,10 +150,10 @@
                                 .put("chunk", 2_048));
         services.addObject().put("Name", LEDGERS).put("HealthCheck", "/health");
         config.putObject("Limits")
-                .put("MaxHeaderBytes", 16_384)
+                .put("MaxHeaderBytes", maxHeaderBytes)
                 .put("MaxBodyBytes", 1 << 20)
                 .put("HeaderTimeoutMs", 1_000)
-                .put("IdleTimeoutMs", 5_000);
+                .put("IdleTimeoutMs", idleTimeoutMs);
         return config;
     }
 
