Keep idle connections for the time of the configuration in force

Callers saw: a connection that was idle when a configuration raised IdleTimeoutMs was closed after the earlier time, while callers may reuse it for four fifths of the new one.

Cause: the timer was set when the connection became idle and did not look at the configuration again.

Change: when the timer runs out, the connection stays open for the rest of the time in force.

Result: CallerLimitsTest.keepsAnIdleConnectionForTheTimeOfTheConfigurationInForce failed before.

--- a/src/main/java/org/jujuberouter/gateway/CallerConnection.java
+++ b/src/main/java/org/jujuberouter/gateway/CallerConnection.java
@@ -366,11 +366,21 @@
 
     private void startIdleTimer() {
         idleSinceNanos = gateway.ticker().nanos();
-        startTimer(gateway.idleTimeoutMs(), () -> {
-            if (isIdle()) {
-                context.close();
-            }
-        });
+        startTimer(gateway.idleTimeoutMs(), this::closeIfIdle);
+    }
+
+    /** Closes the connection, unless the configuration allows a longer idle time than when the timer was started. */
+    private void closeIfIdle() {
+        if (!isIdle()) {
+            return;
+        }
+        long idleMs = TimeUnit.NANOSECONDS.toMillis(gateway.ticker().nanos() - idleSinceNanos);
+        long remainingMs = gateway.idleTimeoutMs() - idleMs;
+        if (remainingMs > 0) {
+            startTimer(remainingMs, this::closeIfIdle);
+        } else {
+            context.close();
+        }
     }
 
     private void startTimer(long millis, Runnable action) {
--- a/src/test/java/org/jujuberouter/gateway/CallerLimitsTest.java
+++ b/src/test/java/org/jujuberouter/gateway/CallerLimitsTest.java
@@ -1,6 +1,7 @@
 package org.jujuberouter.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -176,4 +177,21 @@
         large.write("x".repeat(bytes));
         assertEquals(503, large.readStatus());
     }
+
+    /** Callers reuse connections for as long as the configuration in force allows. */
+    @Test
+    void keepsAnIdleConnectionForTheTimeOfTheConfigurationInForce() throws Exception {
+        long shortMs = 1_000;
+        site.limitCallers(MAX_HEADER_BYTES, shortMs);
+        InstanceFixture.await(() -> isServed(100));
+        // The timeout before the last change still holds, so that a change does not shorten it for open connections.
+        site.limitCallers(MAX_HEADER_BYTES, shortMs);
+        Thread.sleep(500);
+        Connection kept = connect();
+        assertEquals(200, kept.call(100, 10));
+        site.limitCallers(MAX_HEADER_BYTES, IDLE_TIMEOUT_MS);
+        Thread.sleep(3 * shortMs);
+        assertEquals(200, kept.call(100, 10));
+        assertTrue(kept.socket.isConnected());
+    }
 }
