Keep what is known of a run while it has no registration

Cause: the pause was kept in the object of the registration and dropped with it. The same held for the statement that a run is leaving, its calls, the calls of this second of a cold start, and failures. A cold start that a response had stated was ended by any registration.

Change: a run whose registration has ended is kept for ten minutes and taken up again if the same run is registered; what happens meanwhile is recorded with it. The cold start by a response and that by the registration are kept apart.

Tests: with the rule taken out, five tests of EndpointRegistryTest and LeavingEndpointTest.keepsThePauseOfAnEngineWhoseRegistrationEndsAndReturns fail.

--- a/src/main/java/org/jujuberouter/catalog/Endpoint.java
+++ b/src/main/java/org/jujuberouter/catalog/Endpoint.java
@@ -26,6 +26,11 @@
         boolean draining,
         long coldMs,
         long startedAtMs) {
+    /** Returns whether the registration tells this run from others of the same endpoint. */
+    public boolean isStartKnown() {
+        return startedAtMs != 0;
+    }
+
     /** Returns whether both registrations belong to the same run of the same endpoint. */
     public boolean isSameRun(Endpoint other) {
         return id.equals(other.id) && address.equals(other.address) && startedAtMs == other.startedAtMs;
--- a/src/main/java/org/jujuberouter/dispatch/EndpointRegistry.java
+++ b/src/main/java/org/jujuberouter/dispatch/EndpointRegistry.java
@@ -20,12 +20,20 @@
 /**
  * The registered endpoints and their load.
  *
+ * <p>The registration of an endpoint may end while it runs, as it cannot reach the store, and return later. What is known
+ * of the run holds meanwhile: its calls, the pause that it asked for, that it is leaving, its calls during a cold start.
+ * So a run is kept for a while after its registration has ended, if it can be told from the next one by its start.
+ *
  * <p>The endpoints of a service are sorted in an order that is the same on every instance. Short prompts use it from
  * the front and long ones from the back, which separates them without coordination between instances.
  */
 public final class EndpointRegistry {
+    /** Time for which a run without a registration is kept, which is also the longest pause that endpoints ask for. */
+    private static final long UNREGISTERED_KEPT_MS = 600_000;
+
     private final Ticker ticker;
     private final Map<EndpointId, TrackedEndpoint> endpoints = new HashMap<>();
+    private final Map<EndpointId, TrackedEndpoint> unregistered = new HashMap<>();
     private final Map<ServiceName, List<TrackedEndpoint>> orderedByService = new HashMap<>();
     private final Map<FailureDomain, TrackedDomain> domains = new HashMap<>();
     private final Set<FailureDomain> evacuated = new HashSet<>();
@@ -48,6 +56,11 @@
     /** Adds or updates a registration; a new run under the same id starts without load and history. */
     public void register(Endpoint endpoint) {
         TrackedDomain domain = domains.computeIfAbsent(endpoint.domain(), TrackedDomain::new);
+        TrackedEndpoint returning = unregistered.remove(endpoint.id());
+        if (returning != null) {
+            endpoints.put(endpoint.id(), returning);
+            orderedByService.clear();
+        }
         TrackedEndpoint known = endpoints.get(endpoint.id());
         if (known != null && known.registration().isSameRun(endpoint)) {
             boolean sameGroup = known.registration().service().equals(endpoint.service())
@@ -64,14 +77,24 @@
 
     /** Removes a registration, at once or after a grace period in which the endpoint may register again. */
     public void deregister(EndpointId id, long graceMs) {
+        long now = ticker.nanos();
         TrackedEndpoint known = endpoints.get(id);
         if (known != null) {
-            known.expireAt(ticker.nanos() + TimeUnit.MILLISECONDS.toNanos(graceMs));
+            known.expireAt(now + TimeUnit.MILLISECONDS.toNanos(graceMs));
             if (graceMs == 0) {
                 endpoints.remove(id);
+                if (known.registration().isStartKnown()) {
+                    unregistered.put(id, known);
+                }
                 orderedByService.clear();
             }
         }
+        unregistered.values().removeIf(e -> e.isExpiredFor(UNREGISTERED_KEPT_MS, now));
+    }
+
+    /** Returns a run that is registered, or was until a while ago. */
+    private Optional<TrackedEndpoint> findRun(EndpointId id) {
+        return Optional.ofNullable(endpoints.getOrDefault(id, unregistered.get(id)));
     }
 
     /** Restricts this instance to the endpoints of its group, for each service that has enough endpoints. */
@@ -112,6 +135,7 @@
         return List.copyOf(endpointsOf(service).values());
     }
 
+    /** Returns a registered endpoint. */
     public Optional<TrackedEndpoint> find(EndpointId id) {
         return Optional.ofNullable(endpoints.get(id));
     }
@@ -143,7 +167,7 @@
 
     /** Records that an endpoint had no capacity for a call. */
     public void markFull(EndpointId id) {
-        find(id).ifPresent(e -> e.markFull(ticker.nanos()));
+        findRun(id).ifPresent(e -> e.markFull(ticker.nanos()));
     }
 
     /** Returns the number of registered endpoints. */
@@ -151,6 +175,11 @@
         return endpoints.size();
     }
 
+    /** Returns the number of runs that are kept without a registration. */
+    int unregisteredCount() {
+        return unregistered.size();
+    }
+
     /** Returns how often the endpoints of a service have been put in order since the start. */
     public long orderings() {
         return orderings;
@@ -181,10 +210,10 @@
             endpointsByRequest
                     .computeIfAbsent(allocation.id(), _ -> new ArrayList<>())
                     .add(allocation.endpoint());
-            TrackedEndpoint endpoint = endpoints.get(allocation.endpoint());
-            if (endpoint != null) {
-                endpoint.load().add(allocation, callPrefillMs, callTokens, now);
-                endpoint.recordStart(now);
+            Optional<TrackedEndpoint> endpoint = findRun(allocation.endpoint());
+            if (endpoint.isPresent()) {
+                endpoint.get().load().add(allocation, callPrefillMs, callTokens, now);
+                endpoint.get().recordStart(now);
             }
         }
     }
@@ -193,20 +222,14 @@
     public void prefillDone(RequestId id) {
         long now = ticker.nanos();
         for (EndpointId endpointId : endpointsByRequest.getOrDefault(id, List.of())) {
-            TrackedEndpoint endpoint = endpoints.get(endpointId);
-            if (endpoint != null) {
-                endpoint.load().prefillDone(id, now);
-            }
+            findRun(endpointId).ifPresent(e -> e.load().prefillDone(id, now));
         }
     }
 
     /** Records that a call of this instance is being answered, which proves that all endpoints that work on it are reached. */
     public void recordReached(RequestId id) {
         for (EndpointId endpointId : endpointsByRequest.getOrDefault(id, List.of())) {
-            TrackedEndpoint endpoint = endpoints.get(endpointId);
-            if (endpoint != null) {
-                endpoint.domain().recordReached();
-            }
+            findRun(endpointId).ifPresent(e -> e.domain().recordReached());
         }
     }
 
@@ -219,10 +242,7 @@
         long now = ticker.nanos();
         loadChanges++;
         for (EndpointId endpointId : allocated) {
-            TrackedEndpoint endpoint = endpoints.get(endpointId);
-            if (endpoint != null) {
-                endpoint.load().remove(id, now);
-            }
+            findRun(endpointId).ifPresent(e -> e.load().remove(id, now));
         }
     }
 
--- a/src/main/java/org/jujuberouter/dispatch/TrackedEndpoint.java
+++ b/src/main/java/org/jujuberouter/dispatch/TrackedEndpoint.java
@@ -33,7 +33,8 @@
     private final Deque<Long> coldStarts = new ArrayDeque<>();
     private Endpoint registration;
     private TrackedDomain domain;
-    private long coldUntil;
+    private long coldByRegistrationUntil;
+    private long coldByResponseUntil;
     private long expiresAt = Long.MAX_VALUE;
     private long backoffUntil = Long.MIN_VALUE;
     private long fullUntil = Long.MIN_VALUE;
@@ -45,6 +46,7 @@
     private long delayRecordedAt;
 
     TrackedEndpoint(Endpoint endpoint, TrackedDomain domain, long now) {
+        coldByResponseUntil = now;
         update(endpoint, domain, now);
     }
 
@@ -52,13 +54,18 @@
         registration = newRegistration;
         domain = newDomain;
         expiresAt = Long.MAX_VALUE;
-        coldUntil = now + TimeUnit.MILLISECONDS.toNanos(newRegistration.coldMs());
+        coldByRegistrationUntil = now + TimeUnit.MILLISECONDS.toNanos(newRegistration.coldMs());
     }
 
     void expireAt(long at) {
         expiresAt = at;
     }
 
+    /** Returns whether the registration ended at least so long ago. */
+    boolean isExpiredFor(long millis, long now) {
+        return now - expiresAt >= TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
     /** Returns the latest registration of the endpoint. */
     public Endpoint registration() {
         return registration;
@@ -100,12 +107,12 @@
 
     /** Returns whether the endpoint is in cold start. */
     public boolean isCold(long now) {
-        return now < coldUntil;
+        return now < coldByRegistrationUntil || now < coldByResponseUntil;
     }
 
     /** Returns whether the endpoint is in cold start and has reached its limit of calls per second. */
     boolean isColdLimitReached(double perSecond, long now) {
-        if (now >= coldUntil || perSecond <= 0) {
+        if (!isCold(now) || perSecond <= 0) {
             return false;
         }
         while (!coldStarts.isEmpty() && now - coldStarts.peekFirst() > SECOND_NANOS) {
@@ -115,14 +122,17 @@
     }
 
     void recordStart(long now) {
-        if (now < coldUntil) {
+        if (isCold(now)) {
             coldStarts.addLast(now);
         }
     }
 
-    /** Records the remaining cold-start time that the endpoint reported. */
+    /**
+     * Records the remaining cold-start time that the endpoint stated in a response. A registration may have been written
+     * before, so none ends it.
+     */
     public void setColdFor(long millis, long now) {
-        coldUntil = Math.max(coldUntil, now + TimeUnit.MILLISECONDS.toNanos(millis));
+        coldByResponseUntil = Math.max(coldByResponseUntil, now + TimeUnit.MILLISECONDS.toNanos(millis));
     }
 
     /** Records a successful call. */
--- a/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
+++ b/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
@@ -89,6 +89,7 @@
     private final Set<String> usedTickets = ConcurrentHashMap.newKeySet();
     private final AtomicInteger abandonedStreams = new AtomicInteger();
     private final long eventGapMs;
+    private final long startedAtMs = System.currentTimeMillis();
     private volatile Behaviour behaviour = Behaviour.ANSWER;
     private final Map<String, Long> orderDelaysMs = new ConcurrentHashMap<>();
     private final Map<String, String> callHeaders = new ConcurrentHashMap<>();
@@ -194,6 +195,7 @@
                 .put("State", state)
                 .put("ColdRemainingMs", 0)
                 .put("Sequence", 1)
+                .put("born", startedAtMs)
                 .toString();
     }
 
--- a/src/test/java/org/jujuberouter/dispatch/EndpointRegistryTest.java
+++ b/src/test/java/org/jujuberouter/dispatch/EndpointRegistryTest.java
@@ -18,7 +18,10 @@
 import org.jujuberouter.misc.ManualTicker;
 import org.junit.jupiter.api.Test;
 
-/** Guards against work that grows with the number of endpoints or instances although it changes no placement. */
+/**
+ * Guards against work that grows with the number of endpoints or instances although it changes no placement, and against
+ * knowledge of a run that is lost with its registration.
+ */
 class EndpointRegistryTest {
     private static final ServiceName SERVICE = ServiceName.of("assistant");
     private static final ServiceName OTHER_SERVICE = ServiceName.of("ledger");
@@ -109,7 +112,101 @@
         assertTrue(endpoint.needsReport(0, ticker.nanos()), "the endpoint has recovered from its delay");
     }
 
+    /** An endpoint that cannot reach the store is registered again when it does; requests reached it in its pause. */
+    @Test
+    void keepsThePauseOfARunWhoseRegistrationEndsAndReturns() {
+        TrackedEndpoint endpoint = registered(run(1, 0));
+        endpoint.pauseFor(20_000, ticker.nanos());
+        registry.deregister(ENGINE, 0);
+        assertEquals(List.of(), registry.usable(SERVICE));
+        ticker.advance(Duration.ofSeconds(4));
+        assertTrue(registered(run(1, 0)).isFull(ticker.nanos()));
+        ticker.advance(Duration.ofSeconds(16));
+        assertFalse(registered(run(1, 0)).isFull(ticker.nanos()));
+    }
+
+    /** A call may be answered after the registration of its endpoint has ended. */
+    @Test
+    void keepsWhatARunStatesWhileItHasNoRegistration() {
+        TrackedEndpoint endpoint = registered(run(1, 0));
+        registry.deregister(ENGINE, 0);
+        endpoint.markLeaving();
+        registered(run(1, 0));
+        assertEquals(List.of(), registry.usable(SERVICE));
+    }
+
+    @Test
+    void keepsTheCallsOfARunWhoseRegistrationEndsAndReturns() {
+        registered(run(1, 0));
+        registry.allocate(List.of(new Allocation(RequestId.of("r1"), ENGINE, true, 24, 5_000, 300, 250, 1)));
+        registry.deregister(ENGINE, 0);
+        registry.allocate(List.of(new Allocation(RequestId.of("r2"), ENGINE, true, 24, 5_000, 300, 250, 1)));
+        registry.release(RequestId.of("r1"));
+        assertEquals(1, registered(run(1, 0)).load().slotsUsed());
+    }
+
+    /** Otherwise a cold endpoint would get its calls of a second once more. */
+    @Test
+    void keepsTheColdStartOfARunWhoseRegistrationEndsAndReturns() {
+        TrackedEndpoint endpoint = registered(run(1, 10_000));
+        endpoint.recordStart(ticker.nanos());
+        registry.deregister(ENGINE, 0);
+        assertTrue(registered(run(1, 10_000)).isColdLimitReached(1, ticker.nanos()));
+    }
+
+    /** A registration that was written before the endpoint became cold may be read later. */
+    @Test
+    void staysColdForAsLongAsAResponseStatedWhateverTheRegistration() {
+        TrackedEndpoint endpoint = registered(run(1, 0));
+        endpoint.setColdFor(5_000, ticker.nanos());
+        ticker.advance(Duration.ofSeconds(4));
+        assertTrue(registered(run(1, 0)).isCold(ticker.nanos()));
+        ticker.advance(Duration.ofSeconds(1));
+        assertFalse(registered(run(1, 0)).isCold(ticker.nanos()));
+    }
+
+    @Test
+    void startsTheNextRunOfAnEndpointWithoutHistory() {
+        registered(run(1, 0)).pauseFor(20_000, ticker.nanos());
+        registry.deregister(ENGINE, 0);
+        assertFalse(registered(run(2, 0)).isFull(ticker.nanos()));
+        registry.deregister(ENGINE, 0);
+        assertFalse(registered(run(1, 0)).isFull(ticker.nanos()), "the first run ended when the second one began");
+    }
+
+    /** Such a run cannot be told from the next one, which has not asked for the pause. */
+    @Test
+    void forgetsARunOfUnknownStartWithItsRegistration() {
+        registered(engine(0, SERVICE, 0)).markLeaving();
+        registry.deregister(ENGINE, 0);
+        registered(engine(0, SERVICE, 0));
+        assertEquals(1, registry.usable(SERVICE).size());
+    }
+
+    @Test
+    void forgetsRunsThatHaveHadNoRegistrationForLong() {
+        for (int i = 0; i < 200; i++) {
+            registry.register(engine(i, SERVICE, 0, 1));
+            registry.deregister(EndpointId.of("e" + i), 0);
+            ticker.advance(Duration.ofSeconds(6));
+        }
+        assertEquals(100, registry.unregisteredCount(), 1);
+    }
+
+    private TrackedEndpoint registered(Endpoint endpoint) {
+        registry.register(endpoint);
+        return registry.find(endpoint.id()).orElseThrow();
+    }
+
+    private static Endpoint run(long startedAtMs, long coldMs) {
+        return engine(0, SERVICE, coldMs, startedAtMs);
+    }
+
     private static Endpoint engine(int i, ServiceName service, long coldMs) {
+        return engine(i, service, coldMs, 0);
+    }
+
+    private static Endpoint engine(int i, ServiceName service, long coldMs, long startedAtMs) {
         return new Endpoint(
                 EndpointId.of("e" + i),
                 service,
@@ -118,6 +215,6 @@
                 11,
                 false,
                 coldMs,
-                0);
+                startedAtMs);
     }
 }
--- a/src/test/java/org/jujuberouter/gateway/LeavingEndpointTest.java
+++ b/src/test/java/org/jujuberouter/gateway/LeavingEndpointTest.java
@@ -86,4 +86,17 @@
         Thread.sleep(1_600);
         assertFalse(requestsToFirstDuring("after").isEmpty(), "requests after the pause");
     }
+
+    /** The registration ends when the engine is cut off from the store, and returns for the same run. */
+    @Test
+    void keepsThePauseOfAnEngineWhoseRegistrationEndsAndReturns() throws Exception {
+        first.setBehaviour(Behaviour.REFUSE);
+        first.setCallHeader("Retry-After", "20");
+        callUntilAnswered(first, "find");
+        site.store().remove("servers/" + first.id());
+        assertEquals(List.of(), requestsToFirstDuring("unregistered"));
+        site.register(first, "assistant", "ready");
+        Thread.sleep(300);
+        assertEquals(List.of(), requestsToFirstDuring("pause"), "requests in the pause");
+    }
 }
