Take no end of the input for that of a response while the request is unsent

A reset alone was recognized already.

Cause: such a response counted as complete at the end of the input unless the write of the request had failed by then; a write that was still under way counted as sound.

Change: while a part of the request is unsent, the outcome of its write decides. A server that has completed its response takes the rest, one that broke off resets the connection.

Result: ResponseEndTest.doesNotCompleteAnEarlyResponseThatEndsWhileTheRequestIsBeingSentAndIsResetThen failed before ("complete half").

--- a/src/main/java/org/jujuberouter/http/ClientCall.java
+++ b/src/main/java/org/jujuberouter/http/ClientCall.java
@@ -25,7 +25,9 @@
  * <p>The connection is not reused, so no bytes of another response can be mistaken for this one, and a failure to
  * connect proves that nothing was sent. A response without a length is complete only if the connection was closed
  * without an error. The failure of a write can be the only sign of a reset, so it is recorded, and reading goes on to
- * what the server had sent before; the end of the input is told from that of the connection for the same reason.
+ * what the server had sent before; the end of the input is told from that of the connection for the same reason. While a
+ * part of the request is unsent, the end of the input is not the end of the response yet: a server that broke off its response
+ * resets the connection then, one that has completed it takes the rest of the request.
  */
 public final class ClientCall {
     private static final int MAX_LINE_BYTES = 8_192;
@@ -43,8 +45,10 @@
     private Channel channel;
     private boolean finished;
     private boolean connected;
+    private boolean requestWritten;
     private boolean requestFailed;
     private boolean inputEnded;
+    private boolean endAwaitsRequest;
 
     private ClientCall(ResponseListener listener, RequestWrites writes) {
         this.listener = listener;
@@ -115,12 +119,28 @@
             connected = true;
             Consumer<Boolean> write = writes.begin(request.content().readableBytes());
             channel.writeAndFlush(request).addListener(f -> {
+                requestWritten = true;
                 requestFailed = !f.isSuccess();
                 write.accept(f.isSuccess());
+                if (endAwaitsRequest) {
+                    end();
+                }
             });
         }
     }
 
+    private void end() {
+        if (inputEnded && !requestWritten) {
+            endAwaitsRequest = true;
+        } else if (inputEnded && requestFailed) {
+            fail(CallFailure.Kind.RESET, "the connection was reset before the request was sent");
+        } else if (!finished) {
+            finished = true;
+            reset();
+            listener.onEnd();
+        }
+    }
+
     private void fail(CallFailure.Kind kind, String detail) {
         if (!finished) {
             finished = true;
@@ -192,19 +212,9 @@
             }
         }
 
-        private void end() {
-            if (inputEnded && requestFailed) {
-                fail(CallFailure.Kind.RESET, "the connection was reset before the request was sent");
-                return;
-            }
-            finished = true;
-            reset();
-            listener.onEnd();
-        }
-
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-            if (event == ChannelInputShutdownEvent.INSTANCE) {
+            if (event == ChannelInputShutdownEvent.INSTANCE && !endAwaitsRequest) {
                 failClosed();
             }
         }
--- a/src/test/java/org/jujuberouter/http/ResponseEndTest.java
+++ b/src/test/java/org/jujuberouter/http/ResponseEndTest.java
@@ -18,6 +18,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -46,7 +47,9 @@
     /** How the server ends the connection after it has written its response. */
     private enum Ending {
         RESET,
-        CLOSE
+        CLOSE,
+        /** Ends its output, and resets the connection while the request is being sent. */
+        CLOSE_THEN_RESET
     }
 
     /** Records the body of a complete response, or how it failed. */
@@ -103,6 +106,12 @@
                 socket.setSoLinger(true, 0);
                 return;
             }
+            if (ending == Ending.CLOSE_THEN_RESET) {
+                socket.shutdownOutput();
+                Thread.sleep(100);
+                socket.setSoLinger(true, 0);
+                return;
+            }
             socket.shutdownOutput();
             // Closing a socket with unread bytes would reset the connection.
             socket.getInputStream().skip(Long.MAX_VALUE);
@@ -141,6 +150,14 @@
         assertEquals("complete whole", outcome(requestBytes, FRAMED + "whole", Ending.RESET));
     }
 
+    /** The caller got the part that had been sent as a complete answer. */
+    @Test
+    void doesNotCompleteAnEarlyResponseThatEndsWhileTheRequestIsBeingSentAndIsResetThen() throws Exception {
+        for (int i = 0; i < 10; i++) {
+            assertEquals("RESET", outcome(LONG_REQUEST_BYTES, UNFRAMED + "half", Ending.CLOSE_THEN_RESET));
+        }
+    }
+
     /** A head that ends early must not look like that of a response without a body. */
     @ParameterizedTest
     @CsvSource(
@@ -157,7 +174,7 @@
                 "HTTP/1.1 200 OK$Transfer-Encoding: chunked$$5$whole$0$"
             })
     void doesNotCompleteAResponseThatIsClosedInItsHeadOrBeforeItsLength(String response) throws Exception {
-        for (Ending ending : Ending.values()) {
+        for (Ending ending : List.of(Ending.RESET, Ending.CLOSE)) {
             String outcome = outcome(100, response, ending);
             assertEquals(false, outcome.startsWith("complete"), outcome + " after " + ending);
         }
