Fail responses whose status is none of the protocol

Callers could get: a status of 600 or more as an answer. With status 000 a call waited for another response until its deadline. A release of reserved memory that an engine answered with 000 counted as carried out.

Cause: the codec accepts any number as a status, and nothing behind it checked the range. Below 200 every status was taken for an informational one.

Change: a status that is neither informational nor from 200 to 599 fails the attempt as malformed, as does an unrequested change of protocol. For calls with a JSON body only a status from 200 to 599 is a response.

--- a/src/main/java/org/jujuberouter/http/ClientCall.java
+++ b/src/main/java/org/jujuberouter/http/ClientCall.java
@@ -190,7 +190,11 @@
                 return;
             }
             if (part instanceof HttpResponse head) {
-                accepted = head.status().code() >= 200 && listener.onHead(head);
+                if (!StatusCodes.isFinal(head) && !StatusCodes.isInformational(head)) {
+                    fail(CallFailure.Kind.MALFORMED, "status " + head.status().code());
+                    return;
+                }
+                accepted = StatusCodes.isFinal(head) && listener.onHead(head);
                 skippedHeads += accepted ? 0 : 1;
             }
             if (!accepted && part instanceof HttpContent content) {
--- a/src/main/java/org/jujuberouter/http/JsonClient.java
+++ b/src/main/java/org/jujuberouter/http/JsonClient.java
@@ -220,6 +220,12 @@
                         "malformed response: " + response.decoderResult().cause()));
                 return;
             }
+            if (!StatusCodes.isFinal(response)) {
+                closeConnection();
+                finish(new JsonReply.NoResponse(
+                        address, "invalid status " + response.status().code()));
+                return;
+            }
             if (!HttpUtil.isKeepAlive(response)) {
                 closeConnection();
             }
--- a/src/test/java/org/jujuberouter/http/JsonClientTest.java
+++ b/src/test/java/org/jujuberouter/http/JsonClientTest.java
@@ -20,6 +20,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against a response that is taken for that to another call on the same connection. */
 class JsonClientTest {
@@ -95,6 +97,28 @@
         }
     }
 
+    /** An order that an engine in trouble answered with status 000 counted as carried out. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "101", "600"})
+    void takesNoStatusOutsideTheProtocolForAResponse(String status) throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            CompletableFuture<JsonReply> reply = new CompletableFuture<>();
+            loop.execute(() -> JsonClient.to(
+                            loop,
+                            new InetSocketAddress(server.getInetAddress(), server.getLocalPort()),
+                            MAX_RESPONSE_BYTES)
+                    .call("GET", "/one", null, TIMEOUT_MS, reply::complete));
+            try (Socket socket = server.accept()) {
+                String response = "HTTP/1.1 " + status + " Unknown\r\nContent-Length: 2\r\n\r\n{}";
+                socket.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+                JsonReply received = reply.get(5, TimeUnit.SECONDS);
+                assertEquals(
+                        "invalid status " + Integer.parseInt(status),
+                        assertInstanceOf(JsonReply.NoResponse.class, received).reason());
+            }
+        }
+    }
+
     private static String path(JsonReply reply) {
         return switch (reply) {
             case JsonReply.Response r -> r.body().path("path").asText();
--- a/src/test/java/org/jujuberouter/http/ResponseEndTest.java
+++ b/src/test/java/org/jujuberouter/http/ResponseEndTest.java
@@ -49,7 +49,9 @@
         RESET,
         CLOSE,
         /** Ends its output, and resets the connection while the request is being sent. */
-        CLOSE_THEN_RESET
+        CLOSE_THEN_RESET,
+        /** Leaves the connection open. */
+        STAY_OPEN
     }
 
     /** Records the body of a complete response, or how it failed. */
@@ -112,7 +114,9 @@
                 socket.setSoLinger(true, 0);
                 return;
             }
-            socket.shutdownOutput();
+            if (ending == Ending.CLOSE) {
+                socket.shutdownOutput();
+            }
             // Closing a socket with unread bytes would reset the connection.
             socket.getInputStream().skip(Long.MAX_VALUE);
         } catch (IOException e) {
@@ -150,6 +154,23 @@
         assertEquals("complete whole", outcome(requestBytes, FRAMED + "whole", Ending.RESET));
     }
 
+    /** An engine in trouble answered with status 000: it was skipped like an informational head, and its call waited. */
+    @ParameterizedTest
+    @ValueSource(strings = {"000", "007", "099", "101", "600", "999", "2000"})
+    void failsAResponseWhoseStatusIsNoneOfTheProtocol(String status) throws Exception {
+        for (String head : new String[] {"$Content-Length: 5$$", "$$", "$Transfer-Encoding: chunked$$5$whole$0$$"}) {
+            String response = "HTTP/1.1 " + status + " Unknown" + head + "whole";
+            assertEquals("MALFORMED", outcome(100, response, Ending.STAY_OPEN), response);
+            assertEquals("MALFORMED", outcome(100, response, Ending.RESET), response);
+        }
+    }
+
+    @Test
+    void skipsInformationalResponses() throws Exception {
+        String response = "HTTP/1.1 100 Continue$$HTTP/1.1 103 Early Hints$$" + FRAMED + "whole";
+        assertEquals("complete whole", outcome(100, response, Ending.CLOSE));
+    }
+
     /** The caller got the part that had been sent as a complete answer. */
     @Test
     void doesNotCompleteAnEarlyResponseThatEndsWhileTheRequestIsBeingSentAndIsResetThen() throws Exception {
