Read the state of the store when its changes exceed a response

Callers could see: after an instance had been cut off from the store while large configurations followed each other, it refused all calls until the store had discarded that part of its history.

Cause: an answer above the bound of the JSON client counted as no answer, so the same changes were asked for again.

Change: the size is an outcome of its own, which is handled like history that has been discarded: the state is read in pages.

Result: KvControlStoreTest.readsTheStateWhenTheChangesAreMoreThanItReads failed before.

--- a/src/main/java/org/jujuberouter/http/JsonClient.java
+++ b/src/main/java/org/jujuberouter/http/JsonClient.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.io.InputStream;
@@ -261,7 +262,12 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             FatalErrors.report(cause);
-            onConnectionLost(ctx, String.valueOf(cause.getMessage()));
+            if (cause instanceof TooLongHttpContentException && ctx.channel() == channel) {
+                closeConnection();
+                finish(new JsonReply.TooLarge(maxResponseBytes));
+            } else {
+                onConnectionLost(ctx, String.valueOf(cause.getMessage()));
+            }
         }
 
         @Override
--- a/src/main/java/org/jujuberouter/http/JsonReply.java
+++ b/src/main/java/org/jujuberouter/http/JsonReply.java
@@ -20,4 +20,11 @@
      * @param reason explanation for the log
      */
     record NoResponse(InetSocketAddress address, String reason) implements JsonReply {}
+
+    /**
+     * The response was larger than this client reads; the call was executed.
+     *
+     * @param limitBytes maximum size of a body, in bytes
+     */
+    record TooLarge(int limitBytes) implements JsonReply {}
 }
--- a/src/main/java/org/jujuberouter/platform/HttpDutyCalls.java
+++ b/src/main/java/org/jujuberouter/platform/HttpDutyCalls.java
@@ -99,7 +99,7 @@
             case JsonReply.Response r when r.status() == 409 -> DutyResult.FENCED;
             case JsonReply.Response r when r.status() == 429 -> DutyResult.LIMITED;
             case JsonReply.Response _ -> DutyResult.REJECTED;
-            case JsonReply.NoResponse _ -> DutyResult.UNANSWERED;
+            case JsonReply.NoResponse _, JsonReply.TooLarge _ -> DutyResult.UNANSWERED;
         };
     }
 }
--- a/src/main/java/org/jujuberouter/platform/HttpMemoryReservations.java
+++ b/src/main/java/org/jujuberouter/platform/HttpMemoryReservations.java
@@ -42,7 +42,7 @@
                     switch (reply) {
                         case JsonReply.Response r when r.status() == 200 -> Outcome.GRANTED;
                         case JsonReply.Response _ -> Outcome.REFUSED;
-                        case JsonReply.NoResponse _ -> Outcome.UNKNOWN;
+                        case JsonReply.NoResponse _, JsonReply.TooLarge _ -> Outcome.UNKNOWN;
                     });
         });
     }
@@ -63,7 +63,7 @@
             listener.accept(
                     switch (reply) {
                         case JsonReply.Response r when r.status() == 200 -> use(r.body(), id);
-                        case JsonReply.Response _, JsonReply.NoResponse _ -> Use.UNKNOWN;
+                        case JsonReply.Response _, JsonReply.NoResponse _, JsonReply.TooLarge _ -> Use.UNKNOWN;
                     });
         });
     }
--- a/src/main/java/org/jujuberouter/platform/KvControlStore.java
+++ b/src/main/java/org/jujuberouter/platform/KvControlStore.java
@@ -142,7 +142,7 @@
                 pages.add(r.body().path("events"));
                 listener.accept(new ControlReply.Success(
                         pages.present(), r.body().path("At").asLong()));
-            } else if (reply instanceof JsonReply.Response r && r.status() == 410) {
+            } else if (isHistoryUnavailable(reply)) {
                 readPage(Pages.fresh(), listener);
             } else {
                 listener.accept(failed("read of the changes since revision " + pages.revision, reply));
@@ -159,7 +159,7 @@
                 r.body().path("events").forEach(e -> events.add(event(e)));
                 long revision = r.body().path("At").asLong();
                 listener.accept(new ControlReply.Success(events, revision));
-            } else if (reply instanceof JsonReply.Response r && r.status() == 410) {
+            } else if (isHistoryUnavailable(reply)) {
                 historyLost = true;
                 listener.accept(new ControlReply.Compacted());
             } else {
@@ -264,6 +264,18 @@
         return response.status() == 200 && response.body().path("At").isIntegralNumber();
     }
 
+    /**
+     * Returns whether the changes cannot be read: the store has discarded them, or they exceed the size of a response, which
+     * they would do again until then. The state itself is read in pages of bounded size.
+     */
+    private static boolean isHistoryUnavailable(JsonReply reply) {
+        return switch (reply) {
+            case JsonReply.Response r -> r.status() == 410;
+            case JsonReply.TooLarge _ -> true;
+            case JsonReply.NoResponse _ -> false;
+        };
+    }
+
     private static ControlEvent event(JsonNode item) {
         String key = item.path("Key").asText();
         long revision = item.path("Rev").asLong();
@@ -281,6 +293,7 @@
                 + switch (reply) {
                     case JsonReply.Response r -> ": status " + r.status();
                     case JsonReply.NoResponse n -> ": " + n.reason();
+                    case JsonReply.TooLarge t -> ": more than " + t.limitBytes() + " bytes";
                 });
     }
 
--- a/src/main/java/org/jujuberouter/platform/KvDutyStore.java
+++ b/src/main/java/org/jujuberouter/platform/KvDutyStore.java
@@ -76,6 +76,7 @@
             case JsonReply.Response r when r.status() == KvTransaction.CONFLICT -> new StoreWrite.Conflict();
             case JsonReply.Response r -> new StoreWrite.Unknown("status " + r.status());
             case JsonReply.NoResponse n -> new StoreWrite.Unknown(n.reason());
+            case JsonReply.TooLarge t -> new StoreWrite.Unknown("more than " + t.limitBytes() + " bytes");
         };
     }
 }
--- a/src/test/java/org/jujuberouter/http/JsonClientTest.java
+++ b/src/test/java/org/jujuberouter/http/JsonClientTest.java
@@ -123,6 +123,7 @@
         return switch (reply) {
             case JsonReply.Response r -> r.body().path("path").asText();
             case JsonReply.NoResponse n -> n.reason();
+            case JsonReply.TooLarge t -> "more than " + t.limitBytes() + " bytes";
         };
     }
 }
--- a/src/test/java/org/jujuberouter/platform/KvControlStoreTest.java
+++ b/src/test/java/org/jujuberouter/platform/KvControlStoreTest.java
@@ -103,6 +103,31 @@
         }
     }
 
+    /** An instance that was cut off while large configurations followed each other refused all calls afterwards. */
+    @Test
+    void readsTheStateWhenTheChangesAreMoreThanItReads() throws Exception {
+        try (KvStandin site = KvStandin.start()) {
+            site.put("a", "{}");
+            site.keepStale();
+            String large = "x".repeat(1_000_000);
+            for (int i = 0; i < 10; i++) {
+                site.put("b", large);
+            }
+            KvControlStore store = KvControlStore.at(loop, site.address());
+            assertInstanceOf(ControlReply.Compacted.class, call(l -> store.watch(1, 100, l)));
+            ControlReply.Success read = assertInstanceOf(ControlReply.Success.class, call(store::read));
+            assertKeys(List.of("a", "b"), read);
+            assertEquals(read.events().getLast().revision(), read.revision());
+            assertKeys(List.of("a", "b"), read(site));
+        }
+    }
+
+    private ControlReply call(Consumer<Consumer<ControlReply>> call) throws Exception {
+        CompletableFuture<ControlReply> reply = new CompletableFuture<>();
+        loop.execute(() -> call.accept(reply::complete));
+        return reply.get(5, TimeUnit.SECONDS);
+    }
+
     private ControlReply reply(String response, BiConsumer<ControlStore, Consumer<ControlReply>> call)
             throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
