--- a/review/standin-3/lab/Foreign.java
+++ b/review/standin-3/lab/Foreign.java
@@ -7,7 +7,10 @@
 
 /** Another writer leaves an entry under servers/ in which fields are missing and that names no limit of its slots. */
 public final class Foreign {
-    private static final int CLIENTS = 12;
+    private static final int CLIENTS = 9;
+
+    /** Time after which a client that was refused comes again, a fifth of the time that it has. */
+    private static final long RETURN_MS = 3_000;
 
     private Foreign() {}
 
@@ -60,7 +63,7 @@
                     boolean whole = a.status() == 200 && a.complete();
                     (whole ? served : a.status() == 503 ? refused : lost).incrementAndGet();
                     try {
-                        Thread.sleep(300);
+                        Thread.sleep(whole ? 300 : RETURN_MS);
                     } catch (InterruptedException e) {
                         return;
                     }
