Review: drop case 13, which review/8 shows, and number the later cases anew

Change: the case of a request that crashes engines with its first token is removed; cases 14 and 15 become 13 and 14.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -5,7 +5,7 @@
 . ./jdk.sh
 find_jdk || exit 2
 [ -d target/review-3/lab ] || { echo "run review/build-3.sh first" >&2; exit 2; }
-"$JAVA_HOME/bin/java" -Xmx256m -cp target/review-3:target/jujuberouter-0.1.0-all.jar lab.Refused "$here" &
+"$JAVA_HOME/bin/java" -Xmx256m -cp target/review-3:target/jujuberouter-0.1.0-all.jar lab.Silent "$here" &
 main=$!
 trap 'kill "$main" 2>/dev/null' INT TERM
 wait "$main"
