--- a/review/standin-3/lab/Site.java
+++ b/review/standin-3/lab/Site.java
@@ -23,8 +23,8 @@
     static final String MODEL = "assist";
     static final String LEDGER = "ledger";
 
-    /** Whether the disruption of the case takes place; without it the rule must hold. */
-    static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
+    /** Whether the disruption of the case takes place, as its script says; without it the rule must hold. */
+    static final boolean TROUBLE = !"0".equals(System.getProperty("trouble"));
 
     final Path root;
     final Path folder;
