Read an entry that lacks fields as no endpoint, and count free slots instead of listing them

Cause: a missing number counted as 0 and some fields were not looked at, so the entry was taken for an engine's; and the prediction of free capacity listed each free slot, so the number sized two lists.

Change: an entry without a field that every endpoint writes names none. Free slots are counted (SlotTimes). The same for what else another writer can put into the store: ids that no header can hold, cold starts whose end overflows, crashes with any number of suspects, reasons of any length, times of a configuration that overflow. The entries of three test stand-ins got the Version that endpoints write.

--- a/src/main/java/org/jujuberouter/dispatch/CapacityForecast.java
+++ b/src/main/java/org/jujuberouter/dispatch/CapacityForecast.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.Collections;
 import java.util.List;
 import org.jujuberouter.catalog.EngineCostModel;
 
@@ -10,22 +9,22 @@
 final class CapacityForecast {
     private final EngineCostModel engine;
     private final List<EngineTimeline> timelines = new ArrayList<>();
-    private final double[] earliestSlots;
-    private final double[] latestSlots;
+    private final SlotTimes earliestSlots;
+    private final SlotTimes latestSlots;
 
     private CapacityForecast(EngineCostModel engine, List<TrackedEndpoint> endpoints, long now) {
         this.engine = engine;
         List<Double> earliest = new ArrayList<>();
         List<Double> latest = new ArrayList<>();
+        long freeSlots = 0;
         for (TrackedEndpoint e : endpoints) {
             EngineTimeline timeline = e.load().timeline(engine, e.registration().slots(), now);
-            timeline.addSlotTimes(earliest, latest);
+            freeSlots += timeline.freeSlots();
+            timeline.addReleaseTimes(earliest, latest);
             timelines.add(timeline);
         }
-        Collections.sort(earliest);
-        Collections.sort(latest);
-        earliestSlots = earliest.stream().mapToDouble(d -> d).toArray();
-        latestSlots = latest.stream().mapToDouble(d -> d).toArray();
+        earliestSlots = SlotTimes.of(freeSlots, earliest);
+        latestSlots = SlotTimes.of(freeSlots, latest);
     }
 
     /** Returns a forecast for the given engines. */
@@ -40,8 +39,8 @@
      * @param sharers number of instances that place calls on these engines; their queues are taken to be as long
      */
     PlacementForecast forecast(CallRequirements call, int ahead, int sharers) {
-        double behindEarliestMs = behind(earliestSlots, ahead);
-        double behindLatestMs = behind(latestSlots, (ahead + 1) * sharers - 1);
+        double behindEarliestMs = earliestSlots.behindMs(ahead);
+        double behindLatestMs = latestSlots.behindMs((ahead + 1) * sharers - 1);
         PlacementForecast best = null;
         for (int parts : CallScheduler.PART_COUNTS) {
             if (parts > 1 && engine.prefillMs(call.promptTokens()) / parts < CallScheduler.MIN_PART_MS) {
@@ -119,7 +118,7 @@
                 latestMs,
                 Math.max(kth(firstEvents, split.parts()), respondsEarliestMs) + ownMs,
                 latestMs + split.prefillMs() + engine.decodeIterationMs(engine.slots(), engine.kvCapacityTokens()),
-                slotIntervalMs());
+                latestSlots.intervalMs());
     }
 
     private static double kth(double[] times, int k) {
@@ -136,19 +135,4 @@
         Arrays.sort(times);
         return times[k - 1];
     }
-
-    /** Returns when the given number of calls have got a slot each, once more for each time that all slots are taken. */
-    private static double behind(double[] slotTimes, int calls) {
-        if (calls <= 0 || slotTimes.length == 0) {
-            return 0;
-        }
-        double roundMs = slotTimes[slotTimes.length - 1];
-        return calls / slotTimes.length * roundMs + slotTimes[calls % slotTimes.length];
-    }
-
-    /** Returns the mean time between two freed slots, from the median of the times at which slots are freed. */
-    private double slotIntervalMs() {
-        int half = (latestSlots.length + 1) / 2;
-        return half == 0 || Double.isInfinite(latestSlots[half - 1]) ? 0 : latestSlots[half - 1] / half;
-    }
 }
--- a/src/main/java/org/jujuberouter/dispatch/EngineTimeline.java
+++ b/src/main/java/org/jujuberouter/dispatch/EngineTimeline.java
@@ -76,12 +76,13 @@
         return byLatest.isEmpty() ? 0 : byLatest.getLast().latestMs;
     }
 
-    /** Adds the times at which slots are freed to the given lists, 0 for each slot that is free. */
-    void addSlotTimes(List<Double> earliest, List<Double> latest) {
-        for (int i = 0; i < freeSlots; i++) {
-            earliest.add(0.0);
-            latest.add(0.0);
-        }
+    /** Returns the number of free slots. */
+    int freeSlots() {
+        return Math.max(0, freeSlots);
+    }
+
+    /** Adds the times at which the slots in use are freed to the given lists. */
+    void addReleaseTimes(List<Double> earliest, List<Double> latest) {
         for (Release r : byLatest) {
             if (r.freesSlot) {
                 earliest.add(r.earliestMs);
--- a/src/main/java/org/jujuberouter/dispatch/TrackedEndpoint.java
+++ b/src/main/java/org/jujuberouter/dispatch/TrackedEndpoint.java
@@ -29,6 +29,9 @@
 
     private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** Longest cold start that is counted, so that the time of its end does not overflow. */
+    private static final long MAX_COLD_NANOS = TimeUnit.DAYS.toNanos(1);
+
     private final EndpointLoad load = new EndpointLoad();
     private final Deque<Long> coldStarts = new ArrayDeque<>();
     private Endpoint registration;
@@ -54,7 +57,11 @@
         registration = newRegistration;
         domain = newDomain;
         expiresAt = Long.MAX_VALUE;
-        coldByRegistrationUntil = now + TimeUnit.MILLISECONDS.toNanos(newRegistration.coldMs());
+        coldByRegistrationUntil = coldUntil(newRegistration.coldMs(), now);
+    }
+
+    private static long coldUntil(long millis, long now) {
+        return now + Math.min(TimeUnit.MILLISECONDS.toNanos(millis), MAX_COLD_NANOS);
     }
 
     void expireAt(long at) {
@@ -115,24 +122,34 @@
         if (!isCold(now) || perSecond <= 0) {
             return false;
         }
-        while (!coldStarts.isEmpty() && now - coldStarts.peekFirst() > SECOND_NANOS) {
-            coldStarts.pollFirst();
-        }
+        forgetStartsBefore(now - SECOND_NANOS);
         return coldStarts.size() >= perSecond;
     }
 
     void recordStart(long now) {
         if (isCold(now)) {
+            forgetStartsBefore(now - SECOND_NANOS);
             coldStarts.addLast(now);
         }
     }
 
+    /** Returns the number of calls that are known to have started during the cold start, of the last second. */
+    int coldStartCount() {
+        return coldStarts.size();
+    }
+
+    private void forgetStartsBefore(long nanos) {
+        while (!coldStarts.isEmpty() && coldStarts.peekFirst() - nanos < 0) {
+            coldStarts.pollFirst();
+        }
+    }
+
     /**
      * Records the remaining cold-start time that the endpoint stated in a response. A registration may have been written
      * before, so none ends it.
      */
     public void setColdFor(long millis, long now) {
-        coldByResponseUntil = Math.max(coldByResponseUntil, now + TimeUnit.MILLISECONDS.toNanos(millis));
+        coldByResponseUntil = Math.max(coldByResponseUntil, coldUntil(millis, now));
     }
 
     /** Records a successful call. */
--- a/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
@@ -46,6 +46,9 @@
 
     private static final int MAX_INT = Integer.MAX_VALUE;
 
+    /** Maximum number of endpoints for one call; callers count further ones in an int. */
+    private static final int MAX_ATTEMPTS = 10_000;
+
     private static final Set<String> ROOT_FIELDS = Set.of("Version", "Routes", "Services", "Tenants", "Limits");
     /** Includes a field of the platform that instances do not read: whether calls of a session go to one endpoint. */
     private static final Set<String> ROUTE_FIELDS = Set.of(
@@ -231,9 +234,9 @@
     private Route route(EntryReader r) {
         List<Route.WeightedService> targets = targets(r);
         RetryPolicy retryPolicy = retryPolicy(r, r.text("Type"), r.flag("StreamResume"));
-        long timeoutMs = r.longInteger("TimeoutMs", DEFAULT_TIMEOUT_MS, 1);
-        long objectiveMs = r.longInteger("TargetLatencyMs", 0, 0);
-        long gapMs = r.longInteger("TargetGapMs", 0, 0);
+        long timeoutMs = r.millis("TimeoutMs", DEFAULT_TIMEOUT_MS, 1);
+        long objectiveMs = r.millis("TargetLatencyMs", 0, 0);
+        long gapMs = r.millis("TargetGapMs", 0, 0);
         r.require("Name", "a text that is not blank");
         r.expectText("Name");
         return new Route(
@@ -247,7 +250,7 @@
                 retryPolicy.isStream() ? streamCallerTimeoutMs(objectiveMs, gapMs) : timeoutMs,
                 r.integer("Priority", 0, 0, MAX_INT),
                 targets,
-                Math.max(1, r.integer("MaxAttempts", 1, 1, MAX_INT)),
+                Math.clamp(r.integer("MaxAttempts", 1, 1, MAX_ATTEMPTS), 1, MAX_ATTEMPTS),
                 r.flag("Public"));
     }
 
@@ -408,8 +411,8 @@
         CallerLimits limits = new CallerLimits(
                 l.integer("MaxHeaderBytes", defaults.maxHeaderBytes(), 1, InstanceCapacity.MAX_HEADER_BYTES),
                 l.integer("MaxBodyBytes", defaults.maxBodyBytes(), 0, InstanceCapacity.MAX_BODY_BYTES),
-                l.longInteger("HeaderTimeoutMs", defaults.headerTimeoutMs(), 1),
-                l.longInteger("IdleTimeoutMs", defaults.idleTimeoutMs(), 0));
+                l.millis("HeaderTimeoutMs", defaults.headerTimeoutMs(), 1),
+                l.millis("IdleTimeoutMs", defaults.idleTimeoutMs(), 0));
         return new Located<>(limits, l);
     }
 }
--- a/src/main/java/org/jujuberouter/platform/EntryReader.java
+++ b/src/main/java/org/jujuberouter/platform/EntryReader.java
@@ -19,6 +19,9 @@
     /** Receiver of findings for instances, which log only the entries that they cannot read. */
     static final Consumer<Finding> DISCARD = _ -> {};
 
+    /** Longest time that is read, about 24 days: sums and multiples of times must not overflow in nanoseconds. */
+    static final long MAX_MILLIS = Integer.MAX_VALUE;
+
     private final JsonNode entry;
     private final String path;
     private final Consumer<Finding> findings;
@@ -161,6 +164,12 @@
         return entry.path(name).asLong(ifAbsent);
     }
 
+    /** Returns a time in milliseconds; a longer one than can be counted with is read as the longest. */
+    long millis(String name, long ifAbsent, long min) {
+        checkWhole(name, min, MAX_MILLIS);
+        return Math.min(entry.path(name).asLong(ifAbsent), MAX_MILLIS);
+    }
+
     private void checkWhole(String name, long min, long max) {
         JsonNode value = entry.path(name);
         if (findings == DISCARD || !isPresent(value)) {
--- a/src/main/java/org/jujuberouter/platform/KvValueCodec.java
+++ b/src/main/java/org/jujuberouter/platform/KvValueCodec.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.regex.Pattern;
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.control.ControlEntry;
 import org.jujuberouter.id.CustomerId;
@@ -22,9 +23,16 @@
 import org.jujuberouter.id.RequestTrait;
 import org.jujuberouter.id.ServiceName;
 import org.jujuberouter.misc.Json;
+import org.jujuberouter.peer.PeerCodec;
 
 /** Decodes and encodes the values in the platform's store. */
 final class KvValueCodec {
+    /** Ids of endpoints are sent in a header field of each call. */
+    private static final Pattern ENDPOINT_ID = Pattern.compile("[!-~]+");
+
+    /** Limit of a reason, in characters; it may quote a value of any size, and is kept as long as the entry. */
+    private static final int MAX_REASON_LENGTH = 300;
+
     private KvValueCodec() {}
 
     /**
@@ -66,13 +74,20 @@
             }
             return new ControlEntry.Unreadable("unknown key");
         } catch (IOException | IllegalArgumentException e) {
-            return new ControlEntry.Unreadable(String.valueOf(e.getMessage()));
+            return new ControlEntry.Unreadable(shortened(String.valueOf(e.getMessage())));
         }
     }
 
+    private static String shortened(String reason) {
+        return reason.length() <= MAX_REASON_LENGTH ? reason : reason.substring(0, MAX_REASON_LENGTH) + "...";
+    }
+
+    /** Decodes the suspect calls of a crash, no more than an instance reports: evidence is kept for many crashes. */
     private static List<List<RequestTrait>> suspects(JsonNode calls) {
+        requireAtMost("suspect calls", calls.size(), PeerCodec.MAX_SUSPECTS);
         List<List<RequestTrait>> suspects = new ArrayList<>();
         for (JsonNode call : calls) {
+            requireAtMost("traits of a call", call.size(), PeerCodec.MAX_TRAITS);
             List<RequestTrait> traits = new ArrayList<>();
             call.forEach(trait -> traits.add(RequestTrait.of(trait.asText())));
             if (traits.isEmpty()) {
@@ -83,6 +98,12 @@
         return suspects;
     }
 
+    private static void requireAtMost(String what, int number, int limit) {
+        if (number > limit) {
+            throw new IllegalArgumentException(number + " " + what + ", at most " + limit + " are read");
+        }
+    }
+
     static byte[] encodeSuspects(List<List<RequestTrait>> suspects) {
         ArrayNode calls = Json.MAPPER.createArrayNode();
         suspects.forEach(traits -> {
@@ -118,15 +139,25 @@
         return value.toString().getBytes(StandardCharsets.UTF_8);
     }
 
+    /**
+     * Decodes a registration. One that lacks a field which every endpoint writes stems from another writer and names no
+     * endpoint, whatever the rest of it says.
+     */
     private static Endpoint endpoint(String id, JsonNode entry) {
+        if (!ENDPOINT_ID.matcher(id).matches()) {
+            throw new IllegalArgumentException("the id is not the value of an HTTP header field");
+        }
         String state = text(entry, "State");
         if (!state.equals("ready") && !state.equals("draining")) {
             throw new IllegalArgumentException("unknown State \"" + state + "\"");
         }
         JsonNode slots = entry.path("Slots");
-        if (!slots.canConvertToInt() || slots.asInt() <= 0) {
+        if (!slots.isIntegralNumber() || !slots.canConvertToInt() || slots.asInt() <= 0) {
             throw new IllegalArgumentException("Slots is not a positive integer: " + slots);
         }
+        // Not used by instances, but written by every endpoint.
+        text(entry, "Version");
+        requireWhole(entry, "Sequence");
         return new Endpoint(
                 EndpointId.of(id),
                 ServiceName.of(text(entry, "Service")),
@@ -135,21 +166,25 @@
                 slots.asInt(),
                 state.equals("draining"),
                 number(entry, "ColdRemainingMs"),
-                number(entry, "born"));
+                entry.has("born") ? requireWhole(entry, "born") : 0);
     }
 
-    /** Returns the field as an integer, or 0 if it is absent; throws if it is negative, too large or no number. */
+    /** Returns the field, which may have a fraction, as an integer; throws if it is missing, negative or too large. */
     private static long number(JsonNode entry, String field) {
         JsonNode value = entry.path(field);
-        if (value.isMissingNode()) {
-            return 0;
-        }
         if (!value.isNumber() || !value.canConvertToLong() || value.asLong() < 0) {
             throw new IllegalArgumentException(field + " is not a number from 0 to 2^63 - 1: " + value);
         }
         return value.asLong();
     }
 
+    private static long requireWhole(JsonNode entry, String field) {
+        if (!entry.path(field).isIntegralNumber()) {
+            throw new IllegalArgumentException(field + " is not a whole number: " + entry.path(field));
+        }
+        return number(entry, field);
+    }
+
     static String text(JsonNode entry, String field) {
         return Optional.of(entry.path(field))
                 .filter(JsonNode::isTextual)
--- a/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
+++ b/src/main/java/org/jujuberouter/platform/standin/EngineStandin.java
@@ -191,6 +191,7 @@
                 .put("Service", service)
                 .put("Address", "127.0.0.1:" + port)
                 .put("Zone", domain)
+                .put("Version", "v1")
                 .put("Slots", 8)
                 .put("State", state)
                 .put("ColdRemainingMs", 0)
--- a/src/test/java/org/jujuberouter/dispatch/CallSchedulerTest.java
+++ b/src/test/java/org/jujuberouter/dispatch/CallSchedulerTest.java
@@ -48,12 +48,16 @@
     }
 
     private static Endpoint engine(int i, long coldMs) {
+        return engine(i, 11, coldMs);
+    }
+
+    private static Endpoint engine(int i, int slots, long coldMs) {
         return new Endpoint(
                 EndpointId.of("e" + i),
                 SERVICE,
                 new InetSocketAddress("10.0.0." + (i + 1), 80),
                 FailureDomain.of("z" + i % 3),
-                11,
+                slots,
                 false,
                 coldMs,
                 0);
@@ -376,4 +380,17 @@
         registry.register(new Endpoint(e.id(), e.service(), e.address(), e.domain(), e.slots(), true, 0, 0));
         assertInstanceOf(PlacementDecision.Refuse.class, scheduler.place(shortPrompt(), SPEC, Set.of(), 0));
     }
+
+    /** The free slots of all engines were listed one by one, so an entry with a large number ended the process. */
+    @Test
+    void predictsWhenAPromptCanBePlacedBesideAnEngineThatStatesAnyNumberOfSlots() {
+        for (int i = 0; i < 2; i++) {
+            Endpoint engine = engine(i, Integer.MAX_VALUE, 0);
+            registry.register(engine);
+            RequestId running = RequestId.of("running-" + i);
+            registry.allocate(List.of(new Allocation(running, engine.id(), true, 750, 150_000, 2_500, 1_000, 0)));
+        }
+        PlacementDecision decision = scheduler.place(longPrompt(150_000), SPEC, Set.of(), 0);
+        assertFalse(decision instanceof PlacementDecision.Send, "no engine has memory for the prompt: " + decision);
+    }
 }
--- a/src/test/java/org/jujuberouter/dispatch/EndpointRegistryTest.java
+++ b/src/test/java/org/jujuberouter/dispatch/EndpointRegistryTest.java
@@ -217,4 +217,28 @@
                 coldMs,
                 startedAtMs);
     }
+
+    /** The end of a long cold start overflowed, so the endpoint counted as warm. */
+    @Test
+    void countsAnEndpointAsColdForAnyTimeThatItStates() {
+        ticker.advance(Duration.ofSeconds(1));
+        registry.register(engine(0, SERVICE, Long.MAX_VALUE));
+        TrackedEndpoint endpoint = registry.find(ENGINE).orElseThrow();
+        assertTrue(endpoint.isCold(ticker.nanos()));
+        endpoint.setColdFor(Long.MAX_VALUE, ticker.nanos());
+        registry.register(engine(0, SERVICE, 0));
+        assertTrue(endpoint.isCold(ticker.nanos()));
+    }
+
+    /** Without a limit on calls per second, the calls of a cold endpoint were kept for as long as it was cold. */
+    @Test
+    void keepsTheStartsOfAColdEndpointForASecond() {
+        registry.register(engine(0, SERVICE, Long.MAX_VALUE));
+        TrackedEndpoint endpoint = registry.find(ENGINE).orElseThrow();
+        for (int i = 0; i < 1_000; i++) {
+            ticker.advance(Duration.ofMillis(10));
+            endpoint.recordStart(ticker.nanos());
+        }
+        assertTrue(endpoint.coldStartCount() <= 101, endpoint.coldStartCount() + " starts");
+    }
 }
--- a/src/test/java/org/jujuberouter/gateway/FaultyAnswersTest.java
+++ b/src/test/java/org/jujuberouter/gateway/FaultyAnswersTest.java
@@ -63,8 +63,8 @@
         engines.add(new RawEngine(socket));
         Thread.ofVirtual().start(() -> serve(socket, answers));
         site.store().put("servers/raw-" + engines.size(), """
-                        {"Service":"%s","Address":"127.0.0.1:%d","Zone":"north","Slots":8,"State":"ready",
-                         "ColdRemainingMs":0,"Sequence":1}""".formatted(service, socket.getLocalPort()));
+                        {"Service":"%s","Address":"127.0.0.1:%d","Zone":"north","Version":"v1","Slots":8,
+                         "State":"ready","ColdRemainingMs":0,"Sequence":1}""".formatted(service, socket.getLocalPort()));
         Thread.sleep(400);
     }
 
@@ -176,6 +176,22 @@
         assertEquals(1, received.size());
     }
 
+    /** An engine ran the requests of the service that an entry with some of the fields named under its id. */
+    @Test
+    void sendsNothingToAnEngineByAnEntryThatLacksFields() throws Exception {
+        startEngine(
+                "assistant",
+                head -> "HTTP/1.1 200 OK\r\nX-Jujuberouter-Attempt-Id: " + field(head, "x-jujuberouter-attempt-id")
+                        + "\r\nX-Jujuberouter-Response-Signature: signed\r\nContent-Length: 4\r\n\r\ndone");
+        String entry =
+                "{\"Service\":\"ledger\",\"Address\":\"127.0.0.1:%d\",\"Zone\":\"north\",\"Slots\":8,\"State\":\"ready\"}";
+        site.store()
+                .put("servers/raw-1", entry.formatted(engines.getFirst().socket.getLocalPort()));
+        Thread.sleep(400);
+        assertEquals(503, send("/post/x", "misplaced").statusCode());
+        assertEquals(List.of(), received);
+    }
+
     /** Only the refusal of an earlier request arrives before the connection ends. */
     @Test
     void doesNotPromiseThatARequestHasNotRunAfterTheRefusalOfAnother() throws Exception {
--- a/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
+++ b/src/test/java/org/jujuberouter/platform/KvValueCodecTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
@@ -18,18 +19,22 @@
 import org.jujuberouter.catalog.DomainNetwork;
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.catalog.RetryPolicy;
+import org.jujuberouter.catalog.Route;
 import org.jujuberouter.catalog.ScalingSpec;
 import org.jujuberouter.control.ControlEntry;
 import org.jujuberouter.id.CustomerId;
 import org.jujuberouter.id.FailureDomain;
 import org.jujuberouter.id.InstanceId;
 import org.jujuberouter.id.ServiceName;
+import org.jujuberouter.misc.Json;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against misread values of the store and against invalid values written by other programs. */
 class KvValueCodecTest {
     private static final String ENTRY = """
-            {"Service":"s","Address":"10.128.0.9:8080","Zone":"north","Slots":11,"State":"ready",
+            {"Service":"s","Address":"10.128.0.9:8080","Zone":"north","Version":"v1","Slots":11,"State":"ready",
              "ColdRemainingMs":700,"Sequence":4,"born":1700000000000}""";
 
     private static ControlEntry decode(String key, String value) {
@@ -125,6 +130,73 @@
         assertNull(failure.get());
     }
 
+    /** An entry with some of the fields was taken for an engine, and one with the id of an engine changed its service. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Service", "Address", "Zone", "Version", "Slots", "State", "ColdRemainingMs", "Sequence"})
+    void takesARegistrationWithoutOneOfItsFieldsForThatOfAnotherWriter(String field) throws Exception {
+        ObjectNode entry = (ObjectNode) Json.MAPPER.readTree(ENTRY);
+        assertUnreadable(entry.deepCopy().without(field).toString());
+        assertUnreadable(entry.deepCopy().putNull(field).toString());
+        assertUnreadable(entry.deepCopy().put(field, true).toString());
+        assertUnreadable(entry.deepCopy().set(field, entry.arrayNode().add(1)).toString());
+    }
+
+    @Test
+    void readsARegistrationWithoutItsStartButNoneWhoseStartIsNotAWholeNumber() {
+        String start = ",\"born\":1700000000000";
+        Endpoint e = assertInstanceOf(
+                        ControlEntry.EndpointRegistration.class, decode("servers/i-1", ENTRY.replace(start, "")))
+                .endpoint();
+        assertFalse(e.isStartKnown());
+        assertUnreadable(ENTRY.replace(start, ",\"born\":\"1700000000000\""));
+        assertUnreadable(ENTRY.replace(start, ",\"born\":1.5"));
+        assertUnreadable(ENTRY.replace(start, ",\"born\":null"));
+        assertUnreadable(ENTRY.replace("11", "11.5"));
+    }
+
+    /** Each call that was placed there failed, as the id could not be written to the header of its request. */
+    @ParameterizedTest
+    @ValueSource(strings = {"i-1\r", "i-1\n", "i 1", "i-\u00e9", "\u0000"})
+    void takesAnIdThatNoHeaderCanHoldForThatOfAnotherWriter(String id) {
+        assertInstanceOf(ControlEntry.Unreadable.class, decode("servers/" + id, ENTRY));
+    }
+
+    /** The reason quotes the value, and is kept and logged as long as the entry is in the store. */
+    @Test
+    void keepsLittleOfALargeEntryThatCannotBeRead() {
+        ControlEntry read = decode("servers/i-1", ENTRY.replace("ready", "x".repeat(1_000_000)));
+        String reason = assertInstanceOf(ControlEntry.Unreadable.class, read).reason();
+        assertTrue(reason.length() < 400, () -> reason.length() + " characters");
+    }
+
+    /** Evidence is kept for many crashes, so an entry of any size filled the memory. */
+    @Test
+    void readsNoMoreSuspectsOfACrashThanAnInstanceReports() {
+        String call = "[\"request/s/1\"]";
+        assertInstanceOf(ControlEntry.EndpointCrash.class, decode("crashes/i-1/a", "[" + call + "]"));
+        assertInstanceOf(
+                ControlEntry.Unreadable.class, decode("crashes/i-1/a", "[" + (call + ",").repeat(999) + call + "]"));
+        assertInstanceOf(
+                ControlEntry.Unreadable.class,
+                decode("crashes/i-1/a", "[[" + "\"part/s/1\",".repeat(999) + "\"request/s/1\"]]"));
+    }
+
+    /** Times that overflow when they are added or multiplied ended every call or body at once. */
+    @Test
+    void readsTimesOfAConfigurationUpToTheLongestThatCanBeCountedWith() {
+        String config = """
+                {"Version":1,"Routes":[{"Name":"a","Host":"h","Prefix":"/a/","Type":"streaming","Service":"s",
+                 "TimeoutMs":9223372036854775807,"TargetLatencyMs":9223372036854775807,"MaxAttempts":2147483647}],
+                 "Services":[{"Name":"s"}],"Limits":{"HeaderTimeoutMs":9223372036854775807}}""";
+        Catalog catalog = assertInstanceOf(ControlEntry.Configuration.class, decode("op/config", config))
+                .catalog();
+        Route route = catalog.route("h", "/a/x").orElseThrow();
+        assertEquals(Integer.MAX_VALUE, route.timeoutMs());
+        assertEquals(4L * Integer.MAX_VALUE, route.callerTimeoutMs());
+        assertTrue(route.maxAttempts() + 2 > 0, "attempts " + route.maxAttempts());
+        assertTrue(catalog.limits().headerTimeoutMs() * 2 > 0);
+    }
+
     @Test
     void derivesTheCallersTimeoutFromObjectiveAndGap() {
         assertEquals(2_000, callerTimeoutMs("streaming", 300, 250));
