Pass on no status that promises "not run" unless the endpoint states it

Cause: an answer without the statement counted as that of a call that may have run, and its status was passed on whatever it was.

Change: 408, 421, 429 and 503 of an endpoint that may have run the call are withheld. A call that may be repeated goes elsewhere within its budget, another one gets 502, which promises nothing.

--- a/src/main/java/org/jujuberouter/gateway/CallCodec.java
+++ b/src/main/java/org/jujuberouter/gateway/CallCodec.java
@@ -5,11 +5,13 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.jujuberouter.catalog.Endpoint;
 import org.jujuberouter.catalog.RequestHead;
+import org.jujuberouter.dispatch.PlacementDecision;
 import org.jujuberouter.dispatch.TrackedEndpoint;
 import org.jujuberouter.id.CustomerId;
 import org.jujuberouter.id.RequestId;
@@ -50,7 +52,20 @@
      * @param endpoint the endpoint
      * @param reservation id of the memory reservation at that endpoint; empty if none is needed
      */
-    record Helper(Endpoint endpoint, String reservation) {}
+    record Helper(Endpoint endpoint, String reservation) {
+        /**
+         * Returns the endpoints that prefill the parts of a placed prompt; with reserved memory, the endpoint that answers
+         * is the first of them.
+         */
+        static List<Helper> of(PlacementDecision.Send placement, String reservation) {
+            List<Helper> helpers = new ArrayList<>();
+            if (!reservation.isEmpty()) {
+                helpers.add(new Helper(placement.endpoint().registration(), reservation));
+            }
+            placement.helpers().forEach(h -> helpers.add(new Helper(h.registration(), reservation)));
+            return helpers;
+        }
+    }
 
     /**
      * The parsed head of an endpoint's response.
@@ -59,6 +74,7 @@
      * @param id id of the call that it answers; empty if the header is absent
      * @param signed whether the response carries the endpoint's signature
      * @param notRun whether the endpoint states that it did not run the call
+     * @param promisesNotRun whether callers take the status for the promise that the call has not run and never will
      * @param misdirected whether the request reached an endpoint other than the intended one
      * @param coldMs remaining cold-start time of the endpoint; empty if not reported
      * @param leaving whether the endpoint states that it takes no new requests for the rest of its run
@@ -69,6 +85,7 @@
             String id,
             boolean signed,
             boolean notRun,
+            boolean promisesNotRun,
             boolean misdirected,
             OptionalLong coldMs,
             boolean leaving,
--- a/src/main/java/org/jujuberouter/gateway/Exchange.java
+++ b/src/main/java/org/jujuberouter/gateway/Exchange.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -34,7 +33,7 @@
  *
  * <p>A call is sent to another endpoint only if the previous one did not receive it, stated that it did not run it, or
  * if the call is retryable. Status 503 guarantees that the call did not run and will not run; a call that may have run
- * fails with 502 or 504 instead.
+ * fails with 502 or 504 instead, also where its endpoint answers with a status that gives this guarantee.
  */
 final class Exchange {
     /** Endpoints are a few milliseconds away; the rest of the shortest objective still suffices for a short prompt. */
@@ -252,12 +251,8 @@
 
     private void sendRequest(Attempt thisAttempt, PlacementDecision.Send placement, String reservation) {
         Endpoint endpoint = thisAttempt.endpoint.registration();
-        List<CallCodec.Helper> helpers = new ArrayList<>();
-        if (!reservation.isEmpty()) {
-            helpers.add(new CallCodec.Helper(endpoint, reservation));
-        }
-        placement.helpers().forEach(h -> helpers.add(new CallCodec.Helper(h.registration(), reservation)));
         telemetry.sent(placement, !reservation.isEmpty(), triedEndpoints.size());
+        List<CallCodec.Helper> helpers = CallCodec.Helper.of(placement, reservation);
         CallCodec.Attempt outgoing = new CallCodec.Attempt(
                 endpoint, customer.map(Customer::id), remainingMs(), response.lastEventId(), helpers);
         thisAttempt.predictedFirstEventMs = placement.predictedFirstEventMs()
@@ -390,6 +385,11 @@
         if (!route.retryPolicy().isStream()) {
             telemetry.executionBegan();
         }
+        if (answer.promisesNotRun()) {
+            // Passed on, it would promise the caller what only the statement of the endpoint proves.
+            retryOrFail("status " + answer.status() + " without the statement that the call was not run");
+            return false;
+        }
         if (answer.status() >= 500) {
             gateway.endpointFailed(attempt.endpoint);
             if (route.retryPolicy().isRetryable() && !response.hasStarted() && retry("status " + answer.status())) {
--- a/src/main/java/org/jujuberouter/platform/PlatformCallCodec.java
+++ b/src/main/java/org/jujuberouter/platform/PlatformCallCodec.java
@@ -14,6 +14,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import org.jujuberouter.catalog.RequestHead;
@@ -26,6 +27,13 @@
     /** Status of an endpoint that is not the one that a call expects. */
     static final int MISDIRECTED_REQUEST = 421;
 
+    /** Statuses by which callers know that a call has not run and never will, whoever answers with them. */
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(
+            HttpResponseStatus.REQUEST_TIMEOUT.code(),
+            MISDIRECTED_REQUEST,
+            HttpResponseStatus.TOO_MANY_REQUESTS.code(),
+            HttpResponseStatus.SERVICE_UNAVAILABLE.code());
+
     private static final String BEARER = "Bearer ";
     private static final String LEAVING = "1";
 
@@ -119,6 +127,7 @@
                 h.get(PlatformHeaders.ATTEMPT_ID, ""),
                 h.contains(PlatformHeaders.SIGNATURE),
                 h.contains(PlatformHeaders.NOT_EXECUTED) || status == MISDIRECTED_REQUEST,
+                NOT_RUN_STATUSES.contains(status),
                 status == MISDIRECTED_REQUEST,
                 cold.matches("[0-9]{1,9}") ? OptionalLong.of(Long.parseLong(cold)) : OptionalLong.empty(),
                 LEAVING.equals(h.get(PlatformHeaders.LEAVING)),
--- a/src/test/java/org/jujuberouter/gateway/FaultyAnswersTest.java
+++ b/src/test/java/org/jujuberouter/gateway/FaultyAnswersTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -19,12 +20,15 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.jujuberouter.platform.standin.StandinSite;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Runs an instance before engines whose answers are written byte by byte, to violate the protocol or to frame unusually. */
 class FaultyAnswersTest {
@@ -192,6 +196,63 @@
         assertEquals(List.of(), received);
     }
 
+    private static String failure(String head, int status, String headers) {
+        return "HTTP/1.1 " + status + " X\r\nX-Jujuberouter-Attempt-Id: " + field(head, "x-jujuberouter-attempt-id")
+                + "\r\nX-Jujuberouter-Response-Signature: signed\r\n" + headers + "Content-Length: 4\r\n\r\noops";
+    }
+
+    /** A caller took the status of an engine that had run the request for the promise that it had not, and repeated it. */
+    @ParameterizedTest
+    @ValueSource(ints = {503, 429, 408})
+    void passesOnNoStatusThatPromisesThatARequestHasNotRunIfItMayHave(int status) throws Exception {
+        startEngine("ledger", head -> failure(head, status, "Retry-After: 0.1\r\n"));
+        startEngine("assistant", head -> failure(head, status, ""));
+        for (String path : List.of("/post/x", "/read/x", "/chat/x")) {
+            HttpResponse<String> answer = send(path, "failed" + path.replace('/', '-'));
+            assertEquals(502, answer.statusCode(), path);
+            assertFalse(
+                    answer.headers()
+                            .firstValue("X-Jujuberouter-Response-Signature")
+                            .isPresent(),
+                    path);
+            assertFalse(answer.headers().firstValue("Retry-After").isPresent(), path);
+        }
+        assertEquals(1, received.stream().filter(h -> h.contains("failed-post")).count());
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {503, 429, 421})
+    void refusesARequestThatNoEngineHasRunByTheirOwnStatement(int status) throws Exception {
+        startEngine("ledger", head -> failure(head, status, "X-Jujuberouter-Not-Executed: 1\r\n"));
+        HttpResponse<String> answer = send("/post/x", "refused");
+        assertEquals(503, answer.statusCode());
+        assertTrue(answer.headers().firstValue("Retry-After").isPresent());
+    }
+
+    /** The last attempt was not run, but an earlier one may have been. */
+    @Test
+    void doesNotPromiseThatARequestHasNotRunAfterAnEarlierAttemptThatMayHave() throws Exception {
+        AtomicInteger attempts = new AtomicInteger();
+        Function<String, String> answers = head -> attempts.getAndIncrement() == 0
+                ? failure(head, 503, "")
+                : failure(head, 503, "X-Jujuberouter-Not-Executed: 1\r\n");
+        startEngine("ledger", answers);
+        startEngine("ledger", answers);
+        assertEquals(502, send("/read/x", "twice").statusCode());
+        assertEquals(2, received.size());
+    }
+
+    /** The status of a failure that promises nothing is passed on as the engine gave it. */
+    @Test
+    void passesOnOtherFailuresOfAnEngine() throws Exception {
+        startEngine("ledger", head -> failure(head, 500, ""));
+        HttpResponse<String> answer = send("/post/x", "failed");
+        assertEquals(500, answer.statusCode());
+        assertEquals("oops", answer.body());
+        assertTrue(
+                answer.headers().firstValue("X-Jujuberouter-Response-Signature").isPresent());
+    }
+
     /** Only the refusal of an earlier request arrives before the connection ends. */
     @Test
     void doesNotPromiseThatARequestHasNotRunAfterTheRefusalOfAnother() throws Exception {
