Give removed entries a grace after an outage of the store only

Cause: each failed call to the store counted as an outage, after which a removed entry may come back for 1.9 s, also where only one connection had failed and the store had served all the while.

Change: ExpiryGrace gives the time only if the store stated that it does not serve, if it served neither this instance nor a peer for two heartbeats while this instance had lost it, or if it was restored. Failures carry whether the store stated them (ControlReply.Refused, Inconclusive). The interval of heartbeats is read from the node file. The stand-in of the store can fall silent on its open connections.

--- a/src/main/java/org/jujuberouter/control/ControlReply.java
+++ b/src/main/java/org/jujuberouter/control/ControlReply.java
@@ -23,6 +23,15 @@
      */
     record Compacted() implements ControlReply {}
 
-    /** The store did not answer, or rejected the request. */
-    record Failed(String reason) implements ControlReply {}
+    /** A request that was not served. */
+    sealed interface Failure extends ControlReply {
+        /** Returns the explanation for the log. */
+        String reason();
+    }
+
+    /** The store stated that it does not serve this instance. */
+    record Refused(String reason) implements Failure {}
+
+    /** No answer came, or one that says nothing of whether the store serves: only a connection may have failed. */
+    record Inconclusive(String reason) implements Failure {}
 }
--- a/src/main/java/org/jujuberouter/control/StoreListener.java
+++ b/src/main/java/org/jujuberouter/control/StoreListener.java
@@ -11,8 +11,8 @@
      * Called when a key was removed.
      *
      * @param lastEntry the last value of the key
-     * @param graceMs time within which the key may be written again, because its lease may have expired only since the
-     *     store could not be reached, in milliseconds; 0 if it was removed
+     * @param graceMs time within which the key may be written again, because it may have expired only since the store did not
+     *     serve, in milliseconds; 0 if it was removed
      */
     void onRemoved(String key, ControlEntry lastEntry, long graceMs);
 
--- a/src/main/java/org/jujuberouter/control/StoreWatcher.java
+++ b/src/main/java/org/jujuberouter/control/StoreWatcher.java
@@ -50,7 +50,7 @@
      * Number of consecutive reports of a later position after which a long watch is replaced; a change may reach the
      * peer a moment earlier. A short watch fails in time by itself.
      */
-    private static final int MAX_LATER_REVISIONS = 2;
+    private static final int MAX_LATER_REPORTS = 2;
 
     /**
      * Delay before the next watch after a change, per instance, so that further changes are received in one batch. A
@@ -100,9 +100,6 @@
     /** Age up to which the last report of the peers counts: three intervals of their queries. */
     private static final long MAX_REPORT_AGE_MS = 1_500;
 
-    /** Time within which live endpoints register again after an outage of the store, as specified by the platform. */
-    private static final long RECONNECT_GRACE_MS = 1_900;
-
     private final ControlStore store;
     private final EventLoop loop;
     private final Ticker ticker;
@@ -111,32 +108,36 @@
     private StorePosition position = StorePosition.NONE;
     private long retryMs = INITIAL_RETRY_MS;
     private boolean connected;
-    private long reconnectedAt;
-    private boolean wasDisconnected;
     private boolean provesForOthers;
     private boolean provedByPeer;
     private long peerProofNanos;
-    private int laterRevisions;
+    private int laterReports;
     private long watchNumber;
     private long outstandingWatchMs;
     private boolean peerIsAhead;
     private final PeerReports peerReports;
+    private final ExpiryGrace expiryGrace;
     private ScheduledFuture<?> retryTimer;
     private Runnable retryCall;
     private long triedAt;
-    private long lostAt;
 
-    private StoreWatcher(ControlStore store, EventLoop loop, Ticker ticker, StoreListener listener) {
+    private StoreWatcher(ControlStore store, EventLoop loop, Ticker ticker, StoreListener listener, long heartbeatMs) {
         this.store = store;
         this.loop = loop;
         this.ticker = ticker;
         this.listener = listener;
         this.peerReports = PeerReports.none(ticker, MAX_REPORT_AGE_MS);
+        this.expiryGrace = ExpiryGrace.of(ticker, peerReports, heartbeatMs);
     }
 
-    /** Returns a watcher that has not been started. */
-    public static StoreWatcher of(ControlStore store, EventLoop loop, Ticker ticker, StoreListener listener) {
-        return new StoreWatcher(store, loop, ticker, listener);
+    /**
+     * Returns a watcher that has not been started.
+     *
+     * @param heartbeatMs interval at which endpoints renew their entries, in milliseconds
+     */
+    public static StoreWatcher of(
+            ControlStore store, EventLoop loop, Ticker ticker, StoreListener listener, long heartbeatMs) {
+        return new StoreWatcher(store, loop, ticker, listener, heartbeatMs);
     }
 
     /** Reads the state and watches it from then on. */
@@ -163,8 +164,9 @@
                     applySnapshot(snapshot);
                     watch();
                 }
-                case ControlReply.Compacted _ -> retry("the store has compacted the requested revision", this::readAll);
-                case ControlReply.Failed failed -> retry(failed.reason(), this::readAll);
+                case ControlReply.Compacted _ ->
+                    retry(new ControlReply.Inconclusive("the store lacks the requested changes"), this::readAll);
+                case ControlReply.Failure failure -> retry(failure, this::readAll);
             }
         });
     }
@@ -173,7 +175,7 @@
         long sentAt = ticker.nanos();
         long number = ++watchNumber;
         outstandingWatchMs = watchTimeoutMs();
-        laterRevisions = 0;
+        laterReports = 0;
         checkOverdue();
         store.watch(position, outstandingWatchMs, reply -> {
             if (number == watchNumber) {
@@ -199,7 +201,7 @@
                 }
             }
             case ControlReply.Compacted _ -> readAll();
-            case ControlReply.Failed failed -> retry(failed.reason(), this::watch);
+            case ControlReply.Failure failure -> retry(failure, this::watch);
         }
     }
 
@@ -236,22 +238,23 @@
             retryMs = INITIAL_RETRY_MS;
             retrySooner(INITIAL_RETRY_MS);
         }
+        expiryGrace.servedPeer(atNanos);
         if (!peerPosition.isComparableTo(position)) {
             // A build that does not know eras, beside a store that states them.
             return false;
         }
         if (peerPosition.isAfter(position)) {
-            laterRevisions++;
+            laterReports++;
             if (!peerIsAhead) {
                 peerIsAhead = true;
                 checkOverdue();
             }
-            if (laterRevisions >= MAX_LATER_REVISIONS && outstandingWatchMs > WATCH_TIMEOUT_MS) {
+            if (laterReports >= MAX_LATER_REPORTS && outstandingWatchMs > WATCH_TIMEOUT_MS) {
                 replaceWatch();
             }
             return false;
         }
-        laterRevisions = 0;
+        laterReports = 0;
         peerIsAhead = false;
         if (!provedByPeer || atNanos > peerProofNanos) {
             peerProofNanos = atNanos;
@@ -288,7 +291,10 @@
                         replaceWatch();
                     } else if (connected) {
                         endWatch();
-                        retry("no answer to a watch though a peer has a later position", this::watch);
+                        retry(
+                                new ControlReply.Inconclusive(
+                                        "no answer to a watch though a peer has a later position"),
+                                this::watch);
                     }
                 },
                 OVERDUE_MS,
@@ -334,21 +340,16 @@
     }
 
     private void confirm(long sentAt) {
-        if (!connected) {
-            reconnectedAt = peerReports.reachedStoreSince(lostAt);
-        }
+        expiryGrace.answered();
         connected = true;
         retryMs = INITIAL_RETRY_MS;
         listener.onConfirmed(sentAt);
     }
 
-    private void retry(String reason, Runnable next) {
-        if (connected) {
-            wasDisconnected = true;
-            lostAt = ticker.nanos();
-        }
+    private void retry(ControlReply.Failure failure, Runnable next) {
+        expiryGrace.failed(failure instanceof ControlReply.Refused);
         connected = false;
-        listener.onUnavailable(reason);
+        listener.onUnavailable(failure.reason());
         triedAt = ticker.nanos();
         retryMs = Math.min(retryMs, maxRetryMs());
         scheduleRetry(next, retryMs);
@@ -384,9 +385,7 @@
 
     private void applySnapshot(ControlReply.Success snapshot) {
         if (position.isKnown() && snapshot.position().era() != position.era()) {
-            // Endpoints write again what the copy lacks, as after an outage.
-            wasDisconnected = true;
-            reconnectedAt = ticker.nanos();
+            expiryGrace.restored();
             listener.onRestored(position, snapshot.position());
         }
         Set<String> present = new HashSet<>();
@@ -431,13 +430,7 @@
     private void remove(String key) {
         ControlEvent.Written last = entries.remove(key);
         if (last != null) {
-            listener.onRemoved(key, last.entry(), graceMs());
+            listener.onRemoved(key, last.entry(), expiryGrace.remainingMs());
         }
     }
-
-    /** Returns the time left in which entries that expired during an outage of the store may be written again. */
-    private long graceMs() {
-        long sinceReconnectMs = TimeUnit.NANOSECONDS.toMillis(ticker.nanos() - reconnectedAt);
-        return wasDisconnected ? Math.max(0, RECONNECT_GRACE_MS - sinceReconnectMs) : 0;
-    }
 }
--- a/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
+++ b/src/main/java/org/jujuberouter/gateway/GatewayDaemon.java
@@ -82,7 +82,12 @@
     static GatewayDaemon start(GatewayOptions options, PlatformAdapter platform, BodyBudget bodies) throws IOException {
         useJdkLogging();
         GatewayDaemon daemon = new GatewayDaemon(options, platform);
-        StoreWatcher watcher = StoreWatcher.of(daemon.store, daemon.loop, daemon.gateway.ticker(), daemon.gateway);
+        StoreWatcher watcher = StoreWatcher.of(
+                daemon.store,
+                daemon.loop,
+                daemon.gateway.ticker(),
+                daemon.gateway,
+                options.bounds().heartbeatMs());
         daemon.watcher = watcher;
         daemon.peerLoad = PeerLoadSync.start(daemon.gateway, watcher, daemon.loop, daemon.gateway.ticker(), options);
         daemon.gateway.setPeerLoad(daemon.peerLoad);
--- a/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
+++ b/src/main/java/org/jujuberouter/platform/ConfigurationDecoder.java
@@ -46,7 +46,7 @@
 
     private static final int MAX_INT = Integer.MAX_VALUE;
 
-    /** Maximum number of endpoints for one call; callers count further ones in an int. */
+    /** Maximum number of endpoints for one call; sums with it fit into an int. */
     private static final int MAX_ATTEMPTS = 10_000;
 
     private static final Set<String> ROOT_FIELDS = Set.of("Version", "Routes", "Services", "Tenants", "Limits");
--- a/src/main/java/org/jujuberouter/platform/KvControlStore.java
+++ b/src/main/java/org/jujuberouter/platform/KvControlStore.java
@@ -93,9 +93,11 @@
             return new Pages(true);
         }
 
-        /** Returns whether an answer of the era belongs to the pages: a restored store gives out revisions anew. */
-        private boolean isOfSameEra(long era) {
-            return oldest.isEmpty() || oldest.get().era() == era;
+        /** Returns the era of an answer if it is that of the pages; a restored store gives out revisions anew. */
+        private OptionalLong accept(OptionalLong era) {
+            boolean isOther =
+                    era.isPresent() && oldest.isPresent() && oldest.get().era() != era.getAsLong();
+            return isOther ? OptionalLong.empty() : era;
         }
 
         /** Notes the position of a page. */
@@ -134,11 +136,11 @@
                 return;
             }
             if (!(reply instanceof JsonReply.Response r) || !isState(r)) {
-                listener.accept(failed("read", reply));
+                listener.accept(failure("read", reply));
                 return;
             }
-            OptionalLong answered = era.of(r);
-            if (answered.isEmpty() || !pages.isOfSameEra(answered.getAsLong())) {
+            OptionalLong answered = pages.accept(era.of(r));
+            if (answered.isEmpty()) {
                 readAgain(pages, listener);
                 return;
             }
@@ -160,7 +162,8 @@
         if (pages.stale) {
             readPage(Pages.fresh(), listener);
         } else {
-            listener.accept(new ControlReply.Failed("read: the store was restored meanwhile, era " + era.latest()));
+            listener.accept(
+                    new ControlReply.Inconclusive("read: the store was restored meanwhile, era " + era.latest()));
         }
     }
 
@@ -170,8 +173,8 @@
         String path = "/v1/kv-watch?Prefix=&After=" + oldest.revision() + "&WaitMs=1";
         client.call("GET", path, null, CALL_TIMEOUT_MS, reply -> {
             if (reply instanceof JsonReply.Response r && isState(r)) {
-                OptionalLong answered = era.of(r);
-                if (answered.isEmpty() || !pages.isOfSameEra(answered.getAsLong())) {
+                OptionalLong answered = pages.accept(era.of(r));
+                if (answered.isEmpty()) {
                     readAgain(pages, listener);
                     return;
                 }
@@ -180,7 +183,7 @@
             } else if (isHistoryUnavailable(reply)) {
                 readPage(Pages.fresh(), listener);
             } else {
-                listener.accept(failed("read of the changes since position " + oldest, reply));
+                listener.accept(failure("read of the changes since position " + oldest, reply));
             }
         });
     }
@@ -195,7 +198,7 @@
                 historyLost = true;
                 listener.accept(new ControlReply.Compacted());
             } else {
-                listener.accept(failed("watch", reply));
+                listener.accept(failure("watch", reply));
             }
         });
     }
@@ -204,7 +207,7 @@
     private ControlReply changes(JsonReply.Response response, StorePosition after) {
         OptionalLong answered = era.of(response);
         if (answered.isEmpty()) {
-            return new ControlReply.Failed("watch: an answer of an era before " + era.latest());
+            return new ControlReply.Inconclusive("watch: an answer of an era before " + era.latest());
         }
         if (answered.getAsLong() != after.era()) {
             historyLost = true;
@@ -238,7 +241,7 @@
                 .put(StoreKeys.INSTANCES + instance.value(), registration, lease)
                 .send(client, reply -> {
                     boolean written = reply instanceof JsonReply.Response r && r.status() == 200;
-                    listener.accept(written ? null : failed("announce", reply).reason());
+                    listener.accept(written ? null : failure("announce", reply).reason());
                 });
     }
 
@@ -264,7 +267,9 @@
                         boolean exists = reply instanceof JsonReply.Response r
                                 && (r.status() == 200 || r.status() == KvTransaction.CONFLICT);
                         listener.accept(
-                                exists ? null : failed("write of " + key, reply).reason());
+                                exists
+                                        ? null
+                                        : failure("write of " + key, reply).reason());
                     });
         });
     }
@@ -275,7 +280,7 @@
             if (reply instanceof JsonReply.Response r && r.status() == 200) {
                 granted.accept(r.body().path("Lease").asLong());
             } else {
-                failure.accept(failed("lease", reply).reason());
+                failure.accept(failure("lease", reply).reason());
             }
         });
     }
@@ -339,13 +344,16 @@
                 KvValueCodec.decode(key, position, item.path("Value").asText()));
     }
 
-    private static ControlReply.Failed failed(String operation, JsonReply reply) {
-        return new ControlReply.Failed(operation
-                + switch (reply) {
-                    case JsonReply.Response r -> ": status " + r.status();
-                    case JsonReply.NoResponse n -> ": " + n.reason();
-                    case JsonReply.TooLarge t -> ": more than " + t.limitBytes() + " bytes";
-                });
+    /** Returns the failure of a request; the store states with a server error that it does not serve. */
+    private static ControlReply.Failure failure(String operation, JsonReply reply) {
+        return switch (reply) {
+            case JsonReply.Response r
+            when r.status() >= 500 -> new ControlReply.Refused(operation + ": status " + r.status());
+            case JsonReply.Response r -> new ControlReply.Inconclusive(operation + ": status " + r.status());
+            case JsonReply.NoResponse n -> new ControlReply.Inconclusive(operation + ": " + n.reason());
+            case JsonReply.TooLarge t ->
+                new ControlReply.Inconclusive(operation + ": more than " + t.limitBytes() + " bytes");
+        };
     }
 
     private static byte[] bytes(ObjectNode body) {
--- a/src/main/java/org/jujuberouter/platform/NodeFile.java
+++ b/src/main/java/org/jujuberouter/platform/NodeFile.java
@@ -28,6 +28,8 @@
     /** Rate limit of the leader's calls if none is given; enough for the reports and a few orders. */
     private static final double DEFAULT_DUTY_CALLS_PER_S = 2;
 
+    private static final long DEFAULT_HEARTBEAT_MS = 1_200;
+
     private NodeFile() {}
 
     /** Reads the options of this instance; unknown fields are ignored. */
@@ -50,7 +52,7 @@
                     Optional.empty(),
                     node.path("Bootstrap").asBoolean(),
                     OptionalFeatures.none(),
-                    bounds(node.path("Bounds")),
+                    bounds(node.path("Bounds"), node.path("HeartbeatMs").asLong(DEFAULT_HEARTBEAT_MS)),
                     duties(node.path("Cloud"), node.path("Bounds")));
         } catch (IllegalArgumentException e) {
             throw new IOException(file + ": " + e.getMessage(), e);
@@ -78,12 +80,13 @@
                         Math.round(bounds.path("ReportWindowS").asDouble(5) * 1_000))));
     }
 
-    private static ServingBounds bounds(JsonNode b) {
+    private static ServingBounds bounds(JsonNode b, long heartbeatMs) {
         return new ServingBounds(
                 b.path("RevokeMs").asLong(5_000),
                 Math.round(b.path("GraceS").asDouble(8) * 1_000),
                 b.path("RetryBudgetRatio").asDouble(0.1),
                 b.path("BudgetSlack").asInt(10),
-                Math.round(b.path("BudgetWindowS").asDouble(10) * 1_000));
+                Math.round(b.path("BudgetWindowS").asDouble(10) * 1_000),
+                heartbeatMs);
     }
 }
--- a/src/main/java/org/jujuberouter/platform/standin/KvStandin.java
+++ b/src/main/java/org/jujuberouter/platform/standin/KvStandin.java
@@ -16,7 +16,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -50,6 +52,8 @@
     private int pageSize = Integer.MAX_VALUE;
     private Optional<Copy> stale = Optional.empty();
     private long compactedRevision;
+    private final Set<InetSocketAddress> connections = ConcurrentHashMap.newKeySet();
+    private final Set<InetSocketAddress> silent = ConcurrentHashMap.newKeySet();
     private volatile Mode mode = Mode.SERVING;
 
     private record Copy(TreeMap<String, ObjectNode> items, long revision, long era) {}
@@ -81,6 +85,11 @@
         }
     }
 
+    /** Answers nothing any more on the connections that are open, without closing them; new ones work. */
+    public void silenceOpenConnections() {
+        silent.addAll(connections);
+    }
+
     /** Sets the number of items of a page. */
     public void setPageSize(int items) {
         synchronized (lock) {
@@ -171,6 +180,7 @@
 
     private void serve(HttpExchange exchange) throws IOException {
         try (exchange) {
+            connections.add(exchange.getRemoteAddress());
             JsonNode body = readBody(exchange);
             if (mode == Mode.SILENT) {
                 Thread.sleep(SILENCE_MS);
@@ -181,6 +191,10 @@
                 exchange.getResponseHeaders().set(ERA_HEADER, Long.toString(era));
             }
             int status = mode == Mode.UNAVAILABLE ? 503 : answer(exchange, body, reply);
+            if (silent.contains(exchange.getRemoteAddress())) {
+                Thread.sleep(SILENCE_MS);
+                return;
+            }
             byte[] bytes = reply.toString().getBytes(StandardCharsets.UTF_8);
             exchange.getResponseHeaders().set("Content-Type", "application/json");
             exchange.sendResponseHeaders(status, bytes.length);
--- a/src/test/java/org/jujuberouter/control/StoreWatcherTest.java
+++ b/src/test/java/org/jujuberouter/control/StoreWatcherTest.java
@@ -30,6 +30,8 @@
     /** Response time of a store under load. */
     private static final long STORE_RESPONSE_MS = 300;
 
+    private static final long HEARTBEAT_MS = 1_200;
+
     private final DefaultEventLoop loop = new DefaultEventLoop();
     private final ManualTicker ticker = ManualTicker.atZero();
     private final ScriptedStore store = new ScriptedStore();
@@ -99,7 +101,7 @@
             Consumer<ControlReply> cancelled = watches.poll();
             if (cancelled != null) {
                 cancelledWatches++;
-                cancelled.accept(new ControlReply.Failed("cancelled"));
+                cancelled.accept(new ControlReply.Refused("cancelled"));
             }
         }
     }
@@ -109,6 +111,10 @@
         loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
     }
 
+    private StoreWatcher watcher() {
+        return StoreWatcher.of(store, loop, ticker, listener, HEARTBEAT_MS);
+    }
+
     private void awaitRequest(boolean read) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
         while (store.pending(read) == 0 && System.nanoTime() < end) {
@@ -135,7 +141,7 @@
 
     @Test
     void continuesFromTheRevisionOfTheReadAndSkipsKnownChanges() throws Exception {
-        StoreWatcher.of(store, loop, ticker, listener).start();
+        watcher().start();
         answer(true, success(10, written("a", 12), written("b", 3)));
         answer(false, success(12, written("a", 12)));
         answer(false, success(13, written("a", 13)));
@@ -164,7 +170,7 @@
     void keepsTheViewOfManyInstancesCurrentWhileNothingChanges() throws Exception {
         StoreFreshness freshness = StoreFreshness.of(ticker, ticker, REVOCATION_BOUND_MS);
         confirmationListener = freshness::confirmAt;
-        StoreWatcher.of(store, loop, ticker, listener).start();
+        watcher().start();
         answer(true, success(10, peers(60)));
         for (int i = 0; i < 6; i++) {
             awaitRequest(false);
@@ -177,7 +183,7 @@
     /** All endpoints and instances register one after the other; each change completes the watches of all instances. */
     @Test
     void batchesChangesInOneWatch() throws Exception {
-        StoreWatcher.of(store, loop, ticker, listener).start();
+        watcher().start();
         answer(true, success(10, peers(60)));
         answer(false, success(11, written("a", 11)));
         Thread.sleep(100);
@@ -188,7 +194,7 @@
 
     @Test
     void confirmsTheStateAsOfTheTimeTheWatchWasSent() throws Exception {
-        StoreWatcher.of(store, loop, ticker, listener).start();
+        watcher().start();
         answer(true, success(10));
         ticker.advance(Duration.ofMillis(1_200));
         answer(false, success(10));
@@ -199,7 +205,7 @@
 
     @Test
     void removesMissingKeysAfterACompaction() throws Exception {
-        StoreWatcher.of(store, loop, ticker, listener).start();
+        watcher().start();
         answer(true, success(10, written("a", 1), written("b", 2)));
         answer(false, new ControlReply.Compacted());
         answer(true, success(40, written("b", 2), written("c", 30)));
@@ -210,9 +216,9 @@
 
     @Test
     void reportsWhetherARemovalHappenedDuringAnOutage() throws Exception {
-        StoreWatcher.of(store, loop, ticker, listener).start();
+        watcher().start();
         answer(true, success(10, written("a", 1), written("b", 2)));
-        answer(false, new ControlReply.Failed("status 503"));
+        answer(false, new ControlReply.Refused("status 503"));
         answer(false, success(20, new ControlEvent.Removed("a", position(15))));
         awaitRequest(false);
         ticker.advance(Duration.ofSeconds(3));
@@ -233,9 +239,9 @@
     /** A grace that began with each removal kept endpoints in use that had left after the return of the store. */
     @Test
     void endsTheGraceOfARemovalAFixedTimeAfterTheStoreHasReturned() throws Exception {
-        StoreWatcher.of(store, loop, ticker, listener).start();
+        watcher().start();
         answer(true, success(10, written("a", 1), written("b", 2), written("c", 3)));
-        answer(false, new ControlReply.Failed("status 503"));
+        answer(false, new ControlReply.Refused("status 503"));
         answer(false, success(20, new ControlEvent.Removed("a", position(15))));
         awaitRequest(false);
         ticker.advance(Duration.ofMillis(1_200));
@@ -249,17 +255,17 @@
     /** A watch that waits is answered by the first change after the outage, whose time then passed for its end. */
     @Test
     void asksForAnAnswerAtOnceWhenTheStoreDidNotAnswer() throws Exception {
-        StoreWatcher.of(store, loop, ticker, listener).start();
+        watcher().start();
         answer(true, success(10));
-        answer(false, new ControlReply.Failed("status 503"));
-        answer(false, new ControlReply.Failed("status 503"));
+        answer(false, new ControlReply.Refused("status 503"));
+        answer(false, new ControlReply.Refused("status 503"));
         answer(false, success(10));
         awaitRequest(false);
         assertEquals(List.of(1_200L, 1L, 1L, 1_200L), store.timeouts);
     }
 
     private StoreWatcher startWithView(long revision) throws Exception {
-        StoreWatcher watcher = StoreWatcher.of(store, loop, ticker, listener);
+        StoreWatcher watcher = watcher();
         watcher.start();
         answer(true, success(revision));
         awaitRequest(false);
@@ -349,7 +355,7 @@
      */
     @Test
     void appliesChangesOfARestoredStoreThoughTheirRevisionsAreLower() throws Exception {
-        StoreWatcher watcher = StoreWatcher.of(store, loop, ticker, listener);
+        StoreWatcher watcher = watcher();
         watcher.start();
         answer(true, success(50, written("a", 40), written("b", 3)));
         answer(false, new ControlReply.Compacted());
@@ -375,7 +381,7 @@
     /** Endpoints write again what the copy lacks; the cold start of one that it has must not begin anew. */
     @Test
     void keepsWhatARestoredStoreLacksForAWhileAndSkipsWhatItHasUnchanged() throws Exception {
-        StoreWatcher.of(store, loop, ticker, listener).start();
+        watcher().start();
         answer(true, success(50, written("a", 40), written("b", 3)));
         answer(false, new ControlReply.Compacted());
         ControlEntry unchanged = new ControlEntry.Evacuation(FailureDomain.of("b"));
@@ -402,4 +408,75 @@
         assertEquals(false, watcher.onPeerReport(StorePosition.of(0, 15), ticker.nanos()));
         assertEquals(0, store.cancelledWatches);
     }
+
+    private static ControlReply silence() {
+        return new ControlReply.Inconclusive("no response");
+    }
+
+    private void assertGraceAfterLoss(long graceMs, ControlReply failure, long lostMs) throws Exception {
+        watcher().start();
+        answer(true, success(10, written("a", 1)));
+        awaitRequest(false);
+        ticker.advance(Duration.ofMillis(lostMs));
+        answer(false, failure);
+        answer(false, success(20, new ControlEvent.Removed("a", position(15))));
+        awaitRequest(false);
+        assertEquals(List.of(graceMs), graces);
+    }
+
+    /** An endpoint that left while the connection was silent stayed in use for as long as after an outage. */
+    @Test
+    void givesNoGraceAfterAFailedConnectionWhileEntriesCannotHaveExpired() throws Exception {
+        assertGraceAfterLoss(0, silence(), 2 * HEARTBEAT_MS - 1);
+    }
+
+    @Test
+    void givesAGraceAfterASilenceInWhichEntriesCanHaveExpired() throws Exception {
+        assertGraceAfterLoss(1_900, silence(), 2 * HEARTBEAT_MS);
+    }
+
+    @Test
+    void givesAGraceAfterTheStoreHasStatedThatItDoesNotServe() throws Exception {
+        assertGraceAfterLoss(1_900, new ControlReply.Refused("status 503"), 100);
+    }
+
+    /** The store served all others, so entries that it removed meanwhile had not expired for want of it. */
+    @Test
+    void givesNoGraceAfterALongLossInWhichTheStoreServedAPeer() throws Exception {
+        StoreWatcher watcher = startWithEntry();
+        loseFor(watcher, 10_000, true);
+        answer(false, success(20, new ControlEvent.Removed("a", position(15))));
+        awaitRequest(false);
+        assertEquals(List.of(0L), graces);
+    }
+
+    /** A peer that reached the store again ended the time without it, but not the grace that this gives. */
+    @Test
+    void countsTheGraceFromTheReturnOfTheStoreThatAPeerReports() throws Exception {
+        StoreWatcher watcher = startWithEntry();
+        loseFor(watcher, 10_000, false);
+        watcher.onPeerReport(position(20), ticker.nanos());
+        ticker.advance(Duration.ofMillis(700));
+        answer(false, success(20, new ControlEvent.Removed("a", position(15))));
+        awaitRequest(false);
+        assertEquals(List.of(1_200L), graces);
+    }
+
+    private StoreWatcher startWithEntry() throws Exception {
+        StoreWatcher watcher = watcher();
+        watcher.start();
+        answer(true, success(10, written("a", 1)));
+        awaitRequest(false);
+        return watcher;
+    }
+
+    private void loseFor(StoreWatcher watcher, long millis, boolean peerServed) throws Exception {
+        for (long passed = 0; passed < millis; passed += 500) {
+            ticker.advance(Duration.ofMillis(500));
+            answer(false, silence());
+            if (peerServed) {
+                watcher.onPeerReport(position(20), ticker.nanos());
+            }
+        }
+    }
 }
--- a/src/test/java/org/jujuberouter/gateway/StoreCallSimulation.java
+++ b/src/test/java/org/jujuberouter/gateway/StoreCallSimulation.java
@@ -29,6 +29,7 @@
 /** A fleet in groups that follows a scripted store on a virtual clock; counts calls and measures delays. */
 final class StoreCallSimulation {
     private static final long REVOCATION_BOUND_MS = 5_000;
+    private static final long HEARTBEAT_MS = 1_200;
     private static final long TICK_MS = 10;
     private static final long MESSAGE_MS = 2;
     private static final long WATCH_MARGIN_MS = 800;
@@ -206,7 +207,7 @@
         private Instance(int index) {
             this.index = index;
             channel.freezeTime();
-            watcher = StoreWatcher.of(this, channel.eventLoop(), clock, this);
+            watcher = StoreWatcher.of(this, channel.eventLoop(), clock, this, HEARTBEAT_MS);
             proof = StoreProof.of(watcher, configuration, view, () -> entries.getOrDefault("config", 0L));
             roles = StoreProofRoles.of(id(index), clock);
             nextQuery = now + 10 * index;
@@ -358,7 +359,7 @@
                         new ControlReply.Success(List.copyOf(current.values()), position()));
             } else {
                 bill("read refused", 10);
-                deliver(answerMs, listener, new ControlReply.Failed("refused"));
+                deliver(answerMs, listener, new ControlReply.Refused("refused"));
             }
         }
 
@@ -386,11 +387,11 @@
                 }
                 ControlReply reply = null;
                 if (!isServed()) {
-                    reply = new ControlReply.Failed("refused");
+                    reply = new ControlReply.Refused("refused");
                 } else if (events != null && (!events.isEmpty() || now >= deadline)) {
                     reply = new ControlReply.Success(List.copyOf(events), position());
                 } else if (lost && now >= deadline + WATCH_MARGIN_MS) {
-                    reply = new ControlReply.Failed("lost");
+                    reply = new ControlReply.Inconclusive("lost");
                 }
                 if (reply == null) {
                     channel.eventLoop().schedule(poll[0], TICK_MS, TimeUnit.MILLISECONDS);
--- a/src/test/java/org/jujuberouter/gateway/StoreProofSimulationTest.java
+++ b/src/test/java/org/jujuberouter/gateway/StoreProofSimulationTest.java
@@ -38,6 +38,7 @@
 
     private static final int INSTANCES = 8;
     private static final int PROVING = 2;
+    private static final long HEARTBEAT_MS = 1_200;
     private static final long TICK_MS = 20;
     private static final long RUN_MS = 40_000;
     private static final long QUERY_INTERVAL_MS = 500;
@@ -175,7 +176,7 @@
             this.run = run;
             this.index = index;
             channel.freezeTime();
-            watcher = StoreWatcher.of(this, channel.eventLoop(), monotonicClock, this);
+            watcher = StoreWatcher.of(this, channel.eventLoop(), monotonicClock, this, HEARTBEAT_MS);
             proof = StoreProof.of(watcher, configuration, view, () -> entries.getOrDefault(CONFIGURATION, 0L));
             nextQuery = run.now + index * 10;
             watcher.start();
@@ -218,9 +219,9 @@
                     .toList();
             ControlReply reply = null;
             if (link == Link.REFUSING) {
-                reply = new ControlReply.Failed("refused");
+                reply = new ControlReply.Refused("refused");
             } else if (link == Link.SILENT) {
-                reply = run.now >= w.failsAt ? new ControlReply.Failed("silent") : null;
+                reply = run.now >= w.failsAt ? new ControlReply.Inconclusive("silent") : null;
             } else if (!events.isEmpty() || run.now >= w.deadline) {
                 reply = new ControlReply.Success(events, run.position());
             }
@@ -271,7 +272,7 @@
             if (link == Link.SERVING) {
                 listener.accept(new ControlReply.Success(List.copyOf(run.history), run.position()));
             } else {
-                listener.accept(new ControlReply.Failed("refused"));
+                listener.accept(new ControlReply.Refused("refused"));
             }
         }
 
--- a/src/test/java/org/jujuberouter/gateway/StoreReturnTest.java
+++ b/src/test/java/org/jujuberouter/gateway/StoreReturnTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Guards against endpoints that an instance uses after they have left, because the store had not served it before. */
+/** Guards against endpoints that an instance uses after they have left, because it had lost the store before. */
 class StoreReturnTest {
     /** Longest time for which an instance may not notice that the store serves it again: its longest retry delay. */
     private static final long RECONNECT_MS = 500;
@@ -19,6 +19,9 @@
 
     private static final long REMOVED_AFTER_MS = 1_200;
 
+    /** Time after which an instance has to be in touch again, whatever failed before. */
+    private static final long IN_TOUCH_MS = 3_000;
+
     @TempDir
     private Path files;
 
@@ -41,4 +44,21 @@
             assertEquals(false, leaving.runs().contains("after"));
         }
     }
+
+    /** The removal of an entry was taken for a lease that had expired, as the connection had been silent at the time. */
+    @Test
+    void sendsNothingToAnEndpointThatLeftWhileTheConnectionToTheStoreWasSilent() throws Exception {
+        try (StandinSite site = StandinSite.start(1, 1, 20);
+                InstanceFixture fixture = InstanceFixture.before(site, files)) {
+            InstanceFixture.Instance instance = fixture.start("first");
+            EngineStandin leaving = site.ledgers().getFirst();
+            site.store().silenceOpenConnections();
+            site.store().remove("servers/" + leaving.id());
+            Thread.sleep(IN_TOUCH_MS);
+            assertEquals(
+                    503,
+                    fixture.send(instance.base(), "/read/x", "after").join().statusCode());
+            assertEquals(false, leaving.runs().contains("after"));
+        }
+    }
 }
--- a/src/test/java/org/jujuberouter/platform/KvControlStoreTest.java
+++ b/src/test/java/org/jujuberouter/platform/KvControlStoreTest.java
@@ -51,8 +51,8 @@
             })
     void takesNoSuccessWithoutARevisionForAConfirmation(String response) throws Exception {
         assertInstanceOf(
-                ControlReply.Failed.class, reply(response, (store, l) -> store.watch(StorePosition.of(0, 7), 100, l)));
-        assertInstanceOf(ControlReply.Failed.class, reply(response, ControlStore::read));
+                ControlReply.Failure.class, reply(response, (store, l) -> store.watch(StorePosition.of(0, 7), 100, l)));
+        assertInstanceOf(ControlReply.Failure.class, reply(response, ControlStore::read));
     }
 
     private ControlReply.Success read(KvStandin site) throws Exception {
@@ -173,7 +173,7 @@
             KvControlStore store = KvControlStore.at(loop, address);
             StorePosition after = StorePosition.of(2, 7);
             assertInstanceOf(ControlReply.Success.class, call(l -> store.watch(after, 100, l)));
-            assertInstanceOf(ControlReply.Failed.class, call(l -> store.watch(after, 100, l)));
+            assertInstanceOf(ControlReply.Failure.class, call(l -> store.watch(after, 100, l)));
             assertInstanceOf(ControlReply.Success.class, call(l -> store.watch(after, 100, l)));
             assertInstanceOf(ControlReply.Success.class, call(l -> store.watch(after, 100, l)));
         }
